--- /dev/null
+++ b/src/main/java/larchspool/Balancer.java
@@ -0,0 +1,107 @@
+package larchspool;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The decisions in blocking style: each call does its work and returns what is to be done.
+ *
+ * <p>The module reports through a callback interface; behind this facade it never shows. Like the module this
+ * class is for one thread, and its clock, in microseconds, must never run backwards.
+ */
+public final class Balancer {
+    private final Steps steps = new Steps();
+    private final Contract.Events module;
+
+    public Balancer(Contract.Settings settings) {
+        module = new Dispatcher(settings, steps);
+    }
+
+    /** Picks what to do with a new RPC, which from now on awaits exactly one final answer. */
+    public List<Step> pick(long now, Contract.Request rpc) {
+        module.request(now, rpc);
+        return steps.take();
+    }
+
+    /** Takes news in and returns what follows from it. News of what is forgotten has no effect. */
+    public List<Step> report(long now, News news) {
+        if (news instanceof News.AttemptEnded e) {
+            module.attemptEnded(now, e.rpc(), e.attempt(), e.outcome(), e.took(), e.answered(), e.load());
+        } else if (news instanceof News.AttemptMoved m) {
+            module.note(now, m.rpc(), m.attempt(), m.started(), m.done());
+        } else if (news instanceof News.ClientGone g) {
+            module.clientGone(now, g.rpc());
+        } else if (news instanceof News.Probed p) {
+            module.probed(now, p.subchannel(), p.outcome(), p.load());
+        } else if (news instanceof News.PeerSaid s) {
+            module.peerMessage(now, s.peer(), s.bytes());
+        } else if (news instanceof News.Resolved r) {
+            module.workers(now, r.kind(), r.entries());
+        } else {
+            module.workersUnavailable(now);
+        }
+        return steps.take();
+    }
+
+    /** To be called when a {@link Step.WakeAfter} falls due. */
+    public List<Step> tick(long now, long token) {
+        module.timer(now, token);
+        return steps.take();
+    }
+
+    /** Gathers the module's actions. */
+    private static final class Steps implements Contract.Actions {
+        private List<Step> list = new ArrayList<>();
+
+        List<Step> take() {
+            List<Step> taken = list;
+            list = new ArrayList<>();
+            return taken;
+        }
+
+        @Override
+        public void send(long id, String worker, long until) {
+            list.add(new Step.StartAttempt(id, worker));
+        }
+
+        @Override
+        public void cancel(long id, int attempt) {
+            list.add(new Step.CancelAttempt(id, attempt));
+        }
+
+        @Override
+        public void refuse(long id) {
+            list.add(new Step.Refuse(id));
+        }
+
+        @Override
+        public void fail(long id) {
+            list.add(new Step.Fail(id));
+        }
+
+        @Override
+        public void timer(long token, long delay) {
+            list.add(new Step.WakeAfter(token, delay));
+        }
+
+        @Override
+        public void probe(String worker) {
+            list.add(new Step.Probe(worker));
+        }
+
+        @Override
+        public void tell(int peer, byte[] bytes) {
+            list.add(new Step.TellPeer(peer, bytes));
+        }
+
+        @Override
+        public void subscribe(boolean on) {
+            list.add(new Step.Watch(on));
+        }
+
+        @Override
+        public void log(String line) {
+            list.add(new Step.Log(line));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larchspool/News.java
@@ -0,0 +1,32 @@
+package larchspool;
+
+import java.util.List;
+import larchspool.Contract.ListKind;
+import larchspool.Contract.Outcome;
+import larchspool.Contract.Report;
+import larchspool.Contract.WorkerInfo;
+
+/** What a caller tells {@link Balancer} of what has happened since. Times are microseconds. */
+public sealed interface News {
+    /** A call attempt ended; {@code answered}: the RPC has its final answer, from this attempt or before. */
+    record AttemptEnded(long rpc, int attempt, Outcome outcome, long took, boolean answered, Report load)
+            implements News { }
+
+    /** A subchannel says that the attempt's job has started, or else which part of it is done. */
+    record AttemptMoved(long rpc, int attempt, boolean started, double done) implements News { }
+
+    /** The client has gone away: no answer is owed any more. */
+    record ClientGone(long rpc) implements News { }
+
+    /** A probe ended; the load may be null. */
+    record Probed(String subchannel, Outcome outcome, Report load) implements News { }
+
+    /** A datagram of a peer, by its number. */
+    record PeerSaid(int peer, byte[] bytes) implements News { }
+
+    /** A resolver result: the whole list, changes to it, or the copy that a start is given. */
+    record Resolved(ListKind kind, List<WorkerInfo> entries) implements News { }
+
+    /** The watch failed or ended. */
+    record WatchLost() implements News { }
+}
--- a/src/main/java/larchspool/adapter/Main.java
+++ b/src/main/java/larchspool/adapter/Main.java
@@ -6,23 +6,19 @@
 import java.io.FileInputStream;
 import java.io.IOException;
 
-/** Command line: {@code adapter} speaks the simulator's wire on standard input and output. */
+/** The command {@code adapter}: speaks the simulator's wire on standard input and output. */
 public final class Main {
     private Main() { }
 
-    public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar larchspool.jar adapter");
-            System.exit(2);
-        }
+    public static void run() {
         try {
             new Wire(new LineReader(new FileInputStream(FileDescriptor.in)),
                     new FileOutputStream(FileDescriptor.out)).run();
         } catch (WireException | EOFException e) {
-            System.err.println("larchspool: " + e.getMessage());
+            System.err.println("saffronferry: " + e.getMessage());
             System.exit(1);
         } catch (IOException e) {
-            System.err.println("larchspool: the pipe broke: " + e.getMessage());
+            System.err.println("saffronferry: the pipe broke: " + e.getMessage());
             System.exit(1);
         }
     }
--- a/src/main/java/larchspool/adapter/Wire.java
+++ b/src/main/java/larchspool/adapter/Wire.java
@@ -12,6 +12,7 @@
 import larchspool.Contract.Request;
 import larchspool.Contract.WorkerInfo;
 import larchspool.Contract.WorkerState;
+import saffronferry.lifecycle.SettingsReader;
 
 /** Turns the lines of the wire into events of the instances and their actions into reply lines. */
 final class Wire {
--- /dev/null
+++ b/src/main/java/saffronferry/lifecycle/Config.java
@@ -0,0 +1,87 @@
+package saffronferry.lifecycle;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.json.JSONArray;
+import org.json.JSONException;
+import org.json.JSONObject;
+import saffronferry.state.ListUpdate;
+import saffronferry.wire.Address;
+import saffronferry.wire.ListParser;
+
+/**
+ * The configuration of a real dispatcher: the one place where it is read, checked and given defaults. What is
+ * wrong is an {@link IllegalArgumentException} that names the key.
+ */
+public final class Config {
+    final Address listen;
+    final Address discovery;
+    /** Null where dispatchers do not speak with each other. */
+    final Address peerListen;
+    final List<Address> peers;
+    final SettingsReader settings;
+    final ListParser lists;
+    final ListUpdate known;
+
+    /** Reads the file that {@code BALANCER_CONFIG} names; other variables stand in for missing keys. */
+    static Config read(Map<String, String> environment) {
+        String file = environment.get("BALANCER_CONFIG");
+        if (file == null) {
+            throw new IllegalArgumentException("BALANCER_CONFIG is not set");
+        }
+        try {
+            JSONObject json = new JSONObject(Files.readString(Path.of(file)));
+            standIn(json, "listen", environment.get("BALANCER_LISTEN"));
+            standIn(json, "discovery", environment.get("BALANCER_DISCOVERY"));
+            return new Config(json);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("BALANCER_CONFIG: cannot read " + file);
+        } catch (JSONException e) {
+            throw new IllegalArgumentException("BALANCER_CONFIG: not valid JSON: " + e.getMessage());
+        }
+    }
+
+    Config(JSONObject json) {
+        listen = key("listen", () -> Address.parse(json.getString("listen")));
+        discovery = key("discovery", () -> Address.parse(json.getString("discovery")));
+        peerListen = json.isNull("peer_listen") ? null
+                : key("peer_listen", () -> Address.parse(json.getString("peer_listen")));
+        peers = key("peers", () -> peers(json.optJSONArray("peers")));
+        long seed = key("seed", () -> json.isNull("seed") ? System.nanoTime()
+                : Long.parseUnsignedLong(json.getString("seed"), 16));
+        settings = key("settings", () -> new SettingsReader(seed, json.getJSONObject("settings")));
+        lists = new ListParser(settings.kinds, settings.zones);
+        known = key("known", () -> json.isNull("known") ? new ListUpdate(0, true, List.of())
+                : lists.parse(json.getJSONObject("known")));
+    }
+
+    private static void standIn(JSONObject json, String key, String value) {
+        if (json.isNull(key) && value != null) {
+            json.put(key, value);
+        }
+    }
+
+    private interface Reading<T> {
+        T read();
+    }
+
+    private static <T> T key(String name, Reading<T> reading) {
+        try {
+            return reading.read();
+        } catch (JSONException | IllegalArgumentException e) {
+            throw new IllegalArgumentException("configuration key " + name + ": " + e.getMessage());
+        }
+    }
+
+    private static List<Address> peers(JSONArray array) {
+        List<Address> result = new ArrayList<>();
+        for (int i = 0; array != null && i < array.length(); i++) {
+            result.add(Address.parse(array.getString(i)));
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/lifecycle/Main.java
@@ -0,0 +1,30 @@
+package saffronferry.lifecycle;
+
+/** Command line: {@code serve} is a real dispatcher, {@code adapter} the same decisions in the simulator. */
+public final class Main {
+    private Main() { }
+
+    public static void main(String[] args) {
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "serve" -> serve();
+            case "adapter" -> larchspool.adapter.Main.run();
+            default -> {
+                System.err.println("usage: java -jar saffronferry.jar serve | adapter");
+                System.exit(2);
+            }
+        }
+    }
+
+    private static void serve() {
+        Config config;
+        try {
+            config = Config.read(System.getenv());
+        } catch (IllegalArgumentException e) {
+            System.err.println("saffronferry: " + e.getMessage());
+            System.exit(2);
+            return;
+        }
+        new Node(config).start();
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -0,0 +1,72 @@
+package saffronferry.lifecycle;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.util.concurrent.CountDownLatch;
+import larchspool.Balancer;
+import saffronferry.wire.BoundedLog;
+import saffronferry.wire.Wire;
+
+/** One real dispatcher, from start to the end of its drain. Everything runs on one event loop. */
+final class Node {
+    /** How long after SIGTERM new connections still come. */
+    private static final long STILL_LISTEN_MS = 500;
+    /** An answer counts when its last byte has left; the process must not end before that. */
+    private static final long FLUSH_MS = 50;
+
+    private final Config config;
+    private final Vertx vertx;
+    private final BoundedLog log = new BoundedLog();
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private Wire wire;
+
+    Node(Config config) {
+        this.config = config;
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1));
+    }
+
+    void start() {
+        vertx.runOnContext(v -> begin());
+    }
+
+    private void begin() {
+        vertx.exceptionHandler(e -> log.line("internal error", String.valueOf(e)));
+        SettingsReader s = config.settings;
+        wire = new Wire(vertx, new Wire.Options(config.discovery, config.peerListen, config.peers, s.classes,
+                s.tenants, config.lists, s.fieldOf("free slots"), s.fieldOf("free memory"), s.connectTimeout,
+                s.connIdle), new Balancer(s.settings), log);
+        wire.begin(config.known).compose(v -> wire.server().listen(config.listen)).onSuccess(v -> {
+            Runtime.getRuntime().addShutdownHook(new Thread(this::awaitDrain, "drain"));
+            wire.server().ready();
+        }).onFailure(e -> {
+            System.err.println("saffronferry: cannot start: " + e.getMessage());
+            Runtime.getRuntime().halt(1);
+        });
+    }
+
+    /** SIGTERM runs this: the process ends when it returns. */
+    private void awaitDrain() {
+        vertx.runOnContext(v -> drain());
+        try {
+            drained.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void drain() {
+        wire.server().drain();
+        vertx.setTimer(STILL_LISTEN_MS, t -> {
+            wire.server().closeIdle();
+            wire.ledger().onAnswer(this::endIfDone);
+            endIfDone(wire.ledger().unanswered());
+        });
+    }
+
+    private void endIfDone(int left) {
+        if (left == 0) {
+            vertx.setTimer(FLUSH_MS, t -> drained.countDown());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/lifecycle/SettingsReader.java
@@ -0,0 +1,161 @@
+package saffronferry.lifecycle;
+
+import java.util.ArrayList;
+import java.util.List;
+import larchspool.Contract.Effect;
+import larchspool.Contract.Group;
+import larchspool.Contract.JobClass;
+import larchspool.Contract.Settings;
+import larchspool.Contract.Tenant;
+import org.json.JSONArray;
+import org.json.JSONException;
+import org.json.JSONObject;
+
+/**
+ * Reads the settings, which the simulator sends and a real dispatcher finds in its configuration; keys it
+ * does not know are skipped. What is wrong is an {@link IllegalArgumentException} that names the key.
+ */
+public final class SettingsReader {
+    public final Settings settings;
+    public final List<String> classes;
+    public final List<String> tenants;
+    public final List<String> kinds;
+    public final List<String> zones;
+    /** For each value of a report: 0 held, 1 queued, 2 free slots, 3 free memory, -1 not used. */
+    public final int[] reportFields;
+    private final JSONObject family;
+    /** How long a connection may take to open, in seconds, as told; the module does not need it. */
+    public final double connectTimeout;
+    /** After how many seconds a worker closes an idle connection. */
+    public final double connIdle;
+
+    public SettingsReader(long seed, String json) {
+        this(seed, parse(json));
+    }
+
+    public SettingsReader(long seed, JSONObject top) {
+        try {
+            kinds = names(top, "kinds");
+            zones = names(top, "zones");
+            JSONObject limits = part(top, "limits");
+            JSONObject rules = part(top, "rules");
+            family = part(top, "familyInfo");
+            JSONObject prices = part(top, "deductions");
+            JSONObject report = part(top, "report");
+            List<JobClass> jobClasses = classes(top, family);
+            classes = jobClasses.stream().map(JobClass::name).toList();
+            List<Tenant> realms = new ArrayList<>();
+            for (Object o : array(top, "realms")) {
+                JSONObject realm = (JSONObject) o;
+                realms.add(new Tenant(realm.optString("name"), number(realm, "allowancePerS", 0)));
+            }
+            tenants = realms.stream().map(Tenant::name).toList();
+            reportFields = reportFields(report, family);
+            int zone = zones.indexOf(top.optString("zone"));
+            if (zone < 0) {
+                throw new IllegalArgumentException("zone is not one of zones: " + top.optString("zone"));
+            }
+            connectTimeout = number(limits, "connectTimeout", 0.25);
+            connIdle = number(limits, "connIdle", 60);
+            settings = new Settings(seed, (int) number(top, "slotNo", 0), (int) number(top, "peersTotal", 1),
+                    zone, zones.size(), kinds.size(), jobClasses, realms, number(top, "overShareWorth", 1),
+                    (int) number(limits, "mostTries", 1), flag(limits, "parallelTries"),
+                    flag(limits, "cancel"), flag(limits, "probes"),
+                    !report.optString("how", "off").equals("off"),
+                    flag(limits, "peers"), top.optString("registryMode", "push").equals("ask"),
+                    flag(family, "tellsStart"), micros(family, "progress"),
+                    micros(rules, "cold"), number(rules, "coldShare", 1), number(rules, "fallMultiple", 1),
+                    number(prices, "peer", 0), number(prices, "probe", 0), number(prices, "crossZone", 0));
+        } catch (JSONException e) {
+            throw new IllegalArgumentException(e.getMessage());
+        }
+    }
+
+    /** The name of the report's field with this meaning, or null. */
+    public String fieldOf(String meaning) {
+        return family.optString("reportX0").equals(meaning) ? "x0"
+                : family.optString("reportX1").equals(meaning) ? "x1" : null;
+    }
+
+    private static JSONObject parse(String json) {
+        try {
+            return new JSONObject(json);
+        } catch (JSONException e) {
+            throw new IllegalArgumentException("settings are not valid JSON: " + e.getMessage());
+        }
+    }
+
+    private static List<JobClass> classes(JSONObject top, JSONObject family) {
+        List<JobClass> result = new ArrayList<>();
+        JSONArray profiles = array(top, "profiles");
+        JSONArray stretches = array(family, "classStretch");
+        JSONArray kindsOf = array(family, "classKind");
+        for (int i = 0; i < profiles.length(); i++) {
+            JSONObject p = profiles.getJSONObject(i);
+            double stretch = number(p, "aimStretch", stretches.optDouble(i, 0));
+            Effect effect = switch (p.optString("idempotency", "once")) {
+                case "repeatable" -> Effect.SAFE;
+                case "by_key" -> Effect.KEYED;
+                default -> Effect.UNSAFE;
+            };
+            Group group = switch (p.optString("group", "cell")) {
+                case "all" -> Group.ALL;
+                case "zone" -> Group.ZONE;
+                default -> Group.CELL;
+            };
+            result.add(new JobClass(p.optString("name"), micros(p, "target"), stretch, micros(p, "deadline"),
+                    number(p, "points", 1), number(p, "lateValue", 0), effect, group, micros(p, "keyTtl"),
+                    kindsOf.optInt(i, -1), flag(p, "stream")));
+        }
+        return result;
+    }
+
+    private static int[] reportFields(JSONObject report, JSONObject family) {
+        JSONArray fields = array(report, "fields");
+        int[] result = new int[fields.length()];
+        for (int i = 0; i < result.length; i++) {
+            String meaning = switch (fields.optString(i)) {
+                case "concurrent" -> "held";
+                case "depth" -> "queued";
+                case "x0" -> family.optString("reportX0");
+                case "x1" -> family.optString("reportX1");
+                default -> "";
+            };
+            result[i] = switch (meaning) {
+                case "held" -> 0;
+                case "queued" -> 1;
+                case "free slots" -> 2;
+                case "free memory" -> 3;
+                default -> -1;
+            };
+        }
+        return result;
+    }
+
+    private static JSONArray array(JSONObject o, String key) {
+        return o.isNull(key) ? new JSONArray() : o.getJSONArray(key);
+    }
+
+    private static JSONObject part(JSONObject o, String key) {
+        return o.isNull(key) ? new JSONObject() : o.getJSONObject(key);
+    }
+
+    /** A number or its default; a default never hides a value of the wrong type. */
+    private static double number(JSONObject o, String key, double otherwise) {
+        return o.isNull(key) ? otherwise : o.getDouble(key);
+    }
+
+    private static boolean flag(JSONObject o, String key) {
+        return !o.isNull(key) && o.getBoolean(key);
+    }
+
+    private static long micros(JSONObject o, String key) {
+        return Math.round(number(o, key, 0) * 1e6);
+    }
+
+    private static List<String> names(JSONObject o, String key) {
+        List<String> result = new ArrayList<>();
+        array(o, key).forEach(name -> result.add(String.valueOf(name)));
+        return result;
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/state/CallAttempt.java
@@ -0,0 +1,60 @@
+package saffronferry.state;
+
+import larchspool.Contract.Outcome;
+import larchspool.Contract.Report;
+
+/** One call attempt. Who speaks with the subchannel tells it what comes; after its end nothing counts. */
+public final class CallAttempt {
+    /** Who hears of attempts. */
+    interface Listener {
+        void moved(CallAttempt attempt, boolean started, double done);
+
+        void ended(CallAttempt attempt, Outcome outcome, String result, Report load);
+    }
+
+    final long rpc;
+    final int number;
+    final long sentAt;
+    private final Listener listener;
+    private boolean over;
+    /** Gives the attempt up on the wire. */
+    Runnable giveUp = () -> { };
+
+    CallAttempt(long rpc, int number, long sentAt, Listener listener) {
+        this.rpc = rpc;
+        this.number = number;
+        this.sentAt = sentAt;
+        this.listener = listener;
+    }
+
+    public boolean over() {
+        return over;
+    }
+
+    public void started() {
+        if (!over) {
+            listener.moved(this, true, 0);
+        }
+    }
+
+    public void progressed(double done) {
+        if (!over) {
+            listener.moved(this, false, done);
+        }
+    }
+
+    public void served(String result, Report load) {
+        end(Outcome.OK, result, load);
+    }
+
+    public void ended(Outcome outcome, Report load) {
+        end(outcome, null, load);
+    }
+
+    private void end(Outcome outcome, String result, Report load) {
+        if (!over) {
+            over = true;
+            listener.ended(this, outcome, result, load);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/state/Ports.java
@@ -0,0 +1,26 @@
+package saffronferry.state;
+
+/**
+ * What {@link Ledger} has done outside of memory.
+ *
+ * @param <M> a client's message in the form of its protocol, passed on unread
+ */
+public interface Ports<M> {
+    /** Starts a call attempt, of which the attempt is told; running the result gives it up. */
+    Runnable start(M message, String address, long remaining, CallAttempt attempt);
+
+    /** Asks for a load; the ledger is told of the end. */
+    void probe(String subchannel, String address);
+
+    void tell(int peer, byte[] bytes);
+
+    /** Watches the list from a revision on, in place of any earlier watch; or stops watching. */
+    void watch(boolean on, long revision);
+
+    /** Runs something once after so many microseconds; the result is for {@link #unwake}. */
+    long wake(long delay, Runnable what);
+
+    void unwake(long timer);
+
+    void log(String line);
+}
--- /dev/null
+++ b/src/main/java/saffronferry/wire/BadRequest.java
@@ -0,0 +1,12 @@
+package saffronferry.wire;
+
+/** A request that gets a 4xx; the message tells the client what is wrong. */
+final class BadRequest extends Exception {
+    private static final long serialVersionUID = 1;
+    final int status;
+
+    BadRequest(int status, String message) {
+        super(message, null, false, false);
+        this.status = status;
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/wire/BoundedLog.java
@@ -0,0 +1,27 @@
+package saffronferry.wire;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Lines for the operators on standard error, at most one a second of each kind: neither broken input nor a
+ * busy day may fill the log or take the core.
+ */
+public final class BoundedLog {
+    private static final long GAP = 1_000_000_000;
+    private final Map<String, long[]> kinds = new HashMap<>(); // when last written, and how many kept back
+
+    /** The kind is one of few fixed words; the text may hold anything. */
+    public void line(String kind, String text) {
+        long now = System.nanoTime();
+        long[] last = kinds.computeIfAbsent(kind, k -> new long[] {now - GAP, 0});
+        if (now - last[0] < GAP) {
+            last[1]++;
+            return;
+        }
+        System.err.println("saffronferry: " + kind + ": " + text
+                + (last[1] > 0 ? " (and " + last[1] + " more like it)" : ""));
+        last[0] = now;
+        last[1] = 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/wire/DiscoveryWatch.java
@@ -0,0 +1,125 @@
+package saffronferry.wire;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.util.function.Consumer;
+import saffronferry.state.ListUpdate;
+
+/** Keeps one watch on discovery's list. Any end, silence too, is told once; others ask again. */
+final class DiscoveryWatch {
+    /** An empty line comes every 2 s, and a call may wait 3 s in discovery's queue. */
+    private static final long SILENCE_MS = 4_500;
+    private static final int MOST_LINE = 4 * 1024 * 1024;
+    private static final int CONNECT_MS = 2_000;
+
+    private final Vertx vertx;
+    private final HttpClient client;
+    private final Address discovery;
+    private final ListParser parser;
+    private final Consumer<ListUpdate> told;
+    private final Runnable lost;
+    private final BoundedLog log;
+    private Watch current;
+
+    DiscoveryWatch(Vertx vertx, Address discovery, ListParser parser, Consumer<ListUpdate> told,
+            Runnable lost, BoundedLog log) {
+        this.vertx = vertx;
+        this.discovery = discovery;
+        this.parser = parser;
+        this.told = told;
+        this.lost = lost;
+        this.log = log;
+        client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false).setMaxPoolSize(4)
+                .setConnectTimeout(CONNECT_MS));
+    }
+
+    /** Watches from a revision on, in place of any earlier watch. */
+    void start(long revision) {
+        stop();
+        current = new Watch();
+        client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(discovery.host())
+                .setPort(discovery.port()).setURI("/discovery/hosts?watch=1&from=" + revision))
+                .onSuccess(current::connected).onFailure(current::end);
+    }
+
+    void stop() {
+        if (current != null) {
+            current.close();
+            current = null;
+        }
+    }
+
+    private final class Watch {
+        private final Lines lines = new Lines(MOST_LINE, this::line);
+        private HttpClientRequest request;
+        private boolean over;
+        private long silence;
+
+        Watch() {
+            heard();
+        }
+
+        /** Guards against a watch that is cut off without a word: a new one must start within the limit. */
+        private void heard() {
+            vertx.cancelTimer(silence);
+            silence = vertx.setTimer(SILENCE_MS, t -> end(new IllegalStateException("silence")));
+        }
+
+        void connected(HttpClientRequest r) {
+            request = r;
+            if (over) {
+                r.reset();
+                return;
+            }
+            r.exceptionHandler(this::end);
+            r.response().onSuccess(this::answered).onFailure(this::end);
+            r.end();
+        }
+
+        private void answered(HttpClientResponse response) {
+            if (response.statusCode() != 200) {
+                end(new IllegalStateException("status " + response.statusCode()));
+                return;
+            }
+            response.exceptionHandler(this::end);
+            response.endHandler(v -> end(new IllegalStateException("end of the answer")));
+            response.handler(chunk -> {
+                if (!over) {
+                    heard();
+                    try {
+                        lines.feed(chunk);
+                    } catch (IllegalArgumentException e) {
+                        end(e);
+                    }
+                }
+            });
+        }
+
+        private void line(String line) {
+            if (!line.isEmpty() && !over) {
+                told.accept(parser.parse(line));
+            }
+        }
+
+        private void end(Throwable cause) {
+            if (!over) {
+                close();
+                log.line("watch lost", String.valueOf(cause.getMessage()));
+                lost.run();
+            }
+        }
+
+        void close() {
+            over = true;
+            vertx.cancelTimer(silence);
+            if (request != null) {
+                request.reset();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/wire/LoadParser.java
@@ -0,0 +1,56 @@
+package saffronferry.wire;
+
+import java.util.Map;
+import java.util.HashMap;
+import larchspool.Contract.Report;
+import org.json.JSONObject;
+
+/** Reads load reports: {@code inflight=7,queue=2} in a header or body, or an object of a worker's line. */
+final class LoadParser {
+    private final String freeSlots;
+    private final String freeMemory;
+
+    /** The names of the fields that hold free slots and free memory; null where there are none. */
+    LoadParser(String freeSlots, String freeMemory) {
+        this.freeSlots = freeSlots;
+        this.freeMemory = freeMemory;
+    }
+
+    /** Null if the text is null or holds no figure that is known. */
+    Report parse(String text) {
+        if (text == null) {
+            return null;
+        }
+        Map<String, Double> values = new HashMap<>();
+        for (String part : text.trim().split(",")) {
+            int at = part.indexOf('=');
+            if (at > 0) {
+                try {
+                    values.put(part.substring(0, at).trim(), Double.valueOf(part.substring(at + 1).trim()));
+                } catch (NumberFormatException e) {
+                    // a field that is no number says nothing; the others still count
+                }
+            }
+        }
+        return report(values);
+    }
+
+    /** Null if there is no object or it holds no figure that is known. */
+    Report parse(JSONObject load) {
+        if (load == null) {
+            return null;
+        }
+        Map<String, Double> values = new HashMap<>();
+        load.keySet().forEach(k -> values.put(k, load.optDouble(k)));
+        return report(values);
+    }
+
+    private Report report(Map<String, Double> values) {
+        Report r = new Report(values.getOrDefault("inflight", Double.NaN),
+                values.getOrDefault("queue", Double.NaN), values.getOrDefault(freeSlots, Double.NaN),
+                values.getOrDefault(freeMemory, Double.NaN));
+        boolean nothing = Double.isNaN(r.held()) && Double.isNaN(r.queued()) && Double.isNaN(r.freeSlots())
+                && Double.isNaN(r.freeMemory());
+        return nothing ? null : r;
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/wire/PeerSocket.java
@@ -0,0 +1,58 @@
+package saffronferry.wire;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramPacket;
+import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.datagram.DatagramSocketOptions;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** Datagrams to and from the other dispatchers; a peer's number is its place in the configuration's list. */
+final class PeerSocket {
+    static final int MOST_BYTES = 256;
+
+    private final DatagramSocket socket;
+    private final List<Address> peers;
+    private final Map<String, Integer> numbers = new HashMap<>();
+    private final BiConsumer<Integer, byte[]> heard;
+    private final BoundedLog log;
+
+    PeerSocket(Vertx vertx, List<Address> peers, BiConsumer<Integer, byte[]> heard, BoundedLog log) {
+        this.peers = peers;
+        this.heard = heard;
+        this.log = log;
+        for (int i = 0; i < peers.size(); i++) {
+            numbers.put(peers.get(i).toString(), i);
+        }
+        socket = vertx.createDatagramSocket(new DatagramSocketOptions());
+        socket.exceptionHandler(e -> log.line("peer socket", String.valueOf(e.getMessage())));
+        socket.handler(this::receive);
+    }
+
+    Future<?> listen(Address at) {
+        return socket.listen(at.port(), at.host());
+    }
+
+    void tell(int peer, byte[] bytes) {
+        // guards the limit that voids a run, whoever made the message
+        if (peer < 0 || peer >= peers.size() || bytes.length > MOST_BYTES) {
+            log.line("datagram not sent", bytes.length + " bytes to peer " + peer);
+            return;
+        }
+        Address to = peers.get(peer);
+        socket.send(Buffer.buffer(bytes), to.port(), to.host());
+    }
+
+    private void receive(DatagramPacket packet) {
+        Integer peer = numbers.get(packet.sender().hostAddress() + ":" + packet.sender().port());
+        if (peer == null || packet.data().length() > MOST_BYTES) {
+            log.line("datagram dropped", packet.data().length() + " bytes from " + packet.sender());
+            return;
+        }
+        heard.accept(peer, packet.data().getBytes());
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/wire/SubchannelClient.java
@@ -0,0 +1,181 @@
+package saffronferry.wire;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.util.function.BiConsumer;
+import larchspool.Contract.Outcome;
+import larchspool.Contract.Report;
+import saffronferry.state.CallAttempt;
+
+/** Speaks with subchannels: call attempts and probes. A connection carries one request at a time. */
+final class SubchannelClient {
+    private static final int MOST_LINE = 256 * 1024;
+    private static final int MOST_PROBE = 16 * 1024;
+    private static final long PROBE_WAIT_MS = 500;
+    /** One host never gets more; what is asked beyond waits for a free one. */
+    private static final int MOST_CONNECTIONS = 256;
+    /** Of the time after which a worker closes an idle connection: a request must not cross that close. */
+    private static final double IDLE_PART = 0.7;
+
+    private final Vertx vertx;
+    private final HttpClient client;
+    private final AnswerParser answers;
+    private final LoadParser loads;
+    private final BoundedLog log;
+
+    SubchannelClient(Vertx vertx, double connectTimeout, double connIdle, LoadParser loads, BoundedLog log) {
+        this.vertx = vertx;
+        this.loads = loads;
+        this.log = log;
+        answers = new AnswerParser(loads);
+        client = vertx.createHttpClient(new HttpClientOptions().setPipelining(false).setKeepAlive(true)
+                .setMaxPoolSize(MOST_CONNECTIONS).setTcpNoDelay(true)
+                .setConnectTimeout((int) Math.max(1, Math.round(connectTimeout * 1000)))
+                .setKeepAliveTimeout((int) Math.max(1, connIdle * IDLE_PART)));
+    }
+
+    /** Starts a call attempt and tells it what comes. Running the result closes its connection. */
+    Runnable start(HttpMessage message, String address, long remaining, CallAttempt attempt) {
+        Exchange exchange = new Exchange(message, remaining, attempt);
+        Address at = Address.parse(address);
+        client.request(new RequestOptions().setMethod(message.method()).setHost(at.host()).setPort(at.port())
+                .setURI(message.uri())).onSuccess(exchange::connected).onFailure(exchange::broken);
+        return exchange::giveUp;
+    }
+
+    /** One call attempt on its connection. */
+    private final class Exchange {
+        private final HttpMessage message;
+        private final long remaining;
+        private final CallAttempt attempt;
+        private HttpClientRequest request;
+        private boolean written;
+        private boolean givenUp;
+
+        Exchange(HttpMessage message, long remaining, CallAttempt attempt) {
+            this.message = message;
+            this.remaining = remaining;
+            this.attempt = attempt;
+        }
+
+        void giveUp() {
+            givenUp = true;
+            if (request != null) {
+                request.reset();
+            }
+        }
+
+        void connected(HttpClientRequest r) {
+            request = r;
+            if (givenUp) {
+                r.reset();
+                return;
+            }
+            r.putHeader("X-Txn", message.txn());
+            r.putHeader("X-Remaining-Ms", Long.toString(Math.max(1, remaining / 1000)));
+            if (message.idempotencyKey() != null) {
+                r.putHeader("Idempotency-Key", message.idempotencyKey());
+            }
+            r.exceptionHandler(this::broken);
+            r.response().onSuccess(this::answered).onFailure(this::broken);
+            r.end(message.body()).onSuccess(v -> written = true).onFailure(this::broken);
+        }
+
+        /** Only before the last byte is written is it certain that the job never ran. */
+        void broken(Throwable cause) {
+            attempt.ended(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
+        }
+
+        void answered(HttpClientResponse response) {
+            if (response.statusCode() != 200) {
+                answers.status(attempt, response.statusCode(), response.getHeader("X-Turned-Away"),
+                        response.getHeader("X-Pressure"));
+                response.exceptionHandler(e -> { });
+                return;
+            }
+            Lines lines = new Lines(MOST_LINE, line -> answers.line(attempt, line));
+            response.exceptionHandler(this::broken);
+            response.handler(chunk -> tolerant(() -> lines.feed(chunk)));
+            response.endHandler(v -> {
+                tolerant(lines::end);
+                attempt.ended(Outcome.RESET, null);
+            });
+        }
+
+        /** A subchannel that talks nonsense is one that broke: the job may have run. */
+        private void tolerant(Runnable read) {
+            try {
+                read.run();
+            } catch (IllegalArgumentException e) {
+                log.line("subchannel answer dropped", e.getMessage());
+                request.reset();
+                attempt.ended(Outcome.RESET, null);
+            }
+        }
+    }
+
+    /** Asks for the load; tells how that ended, and the load or null. */
+    void probe(String address, BiConsumer<Outcome, Report> told) {
+        Probe probe = new Probe(told);
+        Address at = Address.parse(address);
+        client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(at.host()).setPort(at.port())
+                .setURI("/metrics/load")).onSuccess(probe::connected)
+                .onFailure(e -> probe.end(Outcome.CONNECT_FAILED, null));
+    }
+
+    private final class Probe {
+        private final BiConsumer<Outcome, Report> told;
+        private final long timer = vertx.setTimer(PROBE_WAIT_MS, t -> expire());
+        private HttpClientRequest request;
+        private boolean over;
+
+        Probe(BiConsumer<Outcome, Report> told) {
+            this.told = told;
+        }
+
+        void connected(HttpClientRequest r) {
+            request = r;
+            if (over) {
+                r.reset();
+                return;
+            }
+            r.exceptionHandler(e -> end(Outcome.RESET, null));
+            r.response().onSuccess(this::answered).onFailure(e -> end(Outcome.RESET, null));
+            r.end();
+        }
+
+        private void answered(HttpClientResponse response) {
+            Outcome outcome = response.statusCode() == 200 ? Outcome.OK : Outcome.ERROR;
+            Buffer body = Buffer.buffer();
+            response.exceptionHandler(e -> end(Outcome.RESET, null));
+            response.handler(chunk -> {
+                if (body.length() + chunk.length() <= MOST_PROBE) {
+                    body.appendBuffer(chunk);
+                }
+            });
+            response.endHandler(v ->
+                    end(outcome, outcome == Outcome.OK ? loads.parse(body.toString()) : null));
+        }
+
+        private void expire() {
+            if (request != null) {
+                request.reset();
+            }
+            end(Outcome.TIMEOUT, null);
+        }
+
+        private void end(Outcome outcome, Report load) {
+            if (!over) {
+                over = true;
+                vertx.cancelTimer(timer);
+                told.accept(outcome, load);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -0,0 +1,97 @@
+package saffronferry.wire;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.List;
+import larchspool.Balancer;
+import larchspool.News;
+import saffronferry.state.CallAttempt;
+import saffronferry.state.Clock;
+import saffronferry.state.Ledger;
+import saffronferry.state.ListUpdate;
+import saffronferry.state.Ports;
+
+/** Joins what is spoken on the sockets with what is kept in memory. */
+public final class Wire implements Ports<HttpMessage> {
+    /** Names and figures that the speakers need. */
+    public record Options(Address discovery, Address peerListen, List<Address> peers, List<String> classes,
+                          List<String> tenants, ListParser lists, String freeSlots, String freeMemory,
+                          double connectTimeout, double connIdle) { }
+
+    private final Vertx vertx;
+    private final BoundedLog log;
+    private final SubchannelClient subchannels;
+    private final DiscoveryWatch discovery;
+    private final PeerSocket peers;
+    private final Address peerListen;
+    private final Ledger<HttpMessage> ledger;
+    private final ChannelServer server;
+
+    public Wire(Vertx vertx, Options o, Balancer balancer, BoundedLog log) {
+        this.vertx = vertx;
+        this.log = log;
+        peerListen = o.peerListen();
+        ledger = new Ledger<>(balancer, new Clock(), this);
+        subchannels = new SubchannelClient(vertx, o.connectTimeout(), o.connIdle(),
+                new LoadParser(o.freeSlots(), o.freeMemory()), log);
+        discovery = new DiscoveryWatch(vertx, o.discovery(), o.lists(), u -> ledger.resolved(u, false),
+                () -> ledger.report(new News.WatchLost()), log);
+        peers = new PeerSocket(vertx, o.peers(),
+                (peer, bytes) -> ledger.report(new News.PeerSaid(peer, bytes)), log);
+        server = new ChannelServer(vertx, new RpcParser(o.classes(), o.tenants()), ledger, log);
+    }
+
+    /** Opens the peers' socket, which the first decisions already use; then takes the known list in. */
+    public Future<?> begin(ListUpdate known) {
+        Future<?> open = peerListen == null ? Future.succeededFuture() : peers.listen(peerListen);
+        return open.onSuccess(v -> ledger.resolved(known, true));
+    }
+
+    public ChannelServer server() {
+        return server;
+    }
+
+    public Ledger<?> ledger() {
+        return ledger;
+    }
+
+    @Override
+    public Runnable start(HttpMessage message, String address, long remaining, CallAttempt attempt) {
+        return subchannels.start(message, address, remaining, attempt);
+    }
+
+    @Override
+    public void probe(String subchannel, String address) {
+        subchannels.probe(address,
+                (outcome, load) -> ledger.report(new News.Probed(subchannel, outcome, load)));
+    }
+
+    @Override
+    public void tell(int peer, byte[] bytes) {
+        peers.tell(peer, bytes);
+    }
+
+    @Override
+    public void watch(boolean on, long revision) {
+        if (on) {
+            discovery.start(revision);
+        } else {
+            discovery.stop();
+        }
+    }
+
+    @Override
+    public long wake(long delay, Runnable what) {
+        return vertx.setTimer(Math.max(1, (delay + 999) / 1000), t -> what.run());
+    }
+
+    @Override
+    public void unwake(long timer) {
+        vertx.cancelTimer(timer);
+    }
+
+    @Override
+    public void log(String line) {
+        log.line("balancer", line);
+    }
+}
