--- a/src/main/java/larchspool/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -1,13 +1,13 @@
-package larchspool;
+package saffronferry;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.function.Consumer;
-import larchspool.Contract.Group;
-import larchspool.Contract.JobClass;
-import larchspool.Contract.Request;
-import larchspool.Contract.WorkerState;
+import saffronferry.Contract.Group;
+import saffronferry.Contract.JobClass;
+import saffronferry.Contract.Request;
+import saffronferry.Contract.WorkerState;
 
 /** What the module remembers of workers, jobs and peers. Data only: {@link Dispatcher} decides. */
 final class Book {
--- a/src/main/java/larchspool/Contract.java
+++ b/src/main/java/saffronferry/Contract.java
@@ -1,4 +1,4 @@
-package larchspool;
+package saffronferry;
 
 import java.util.List;
 
--- a/src/main/java/larchspool/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -1,9 +1,9 @@
 // The decisions of one dispatcher. Types, events and actions: Contract.java in this folder.
-package larchspool;
+package saffronferry;
 
 import java.util.*;
-import larchspool.Book.*;
-import larchspool.Contract.*;
+import saffronferry.Book.*;
+import saffronferry.Contract.*;
 
 /** Networked queues: push to a free slot of the own zone, else hold with P, else spill to a neighbour. */
 public final class Dispatcher implements Contract.Events {
--- a/src/main/java/larchspool/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -1,12 +1,12 @@
-package larchspool;
+package saffronferry;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
-import larchspool.Book.Worker;
-import larchspool.Contract.WorkerState;
+import saffronferry.Book.Worker;
+import saffronferry.Contract.WorkerState;
 
 /** The workers, in the groups in which the module looks them up. Data only: it decides who belongs where. */
 final class Fleet {
--- a/src/main/java/larchspool/News.java
+++ b/src/main/java/saffronferry/News.java
@@ -1,10 +1,10 @@
-package larchspool;
+package saffronferry;
 
 import java.util.List;
-import larchspool.Contract.ListKind;
-import larchspool.Contract.Outcome;
-import larchspool.Contract.Report;
-import larchspool.Contract.WorkerInfo;
+import saffronferry.Contract.ListKind;
+import saffronferry.Contract.Outcome;
+import saffronferry.Contract.Report;
+import saffronferry.Contract.WorkerInfo;
 
 /** What a caller tells {@link Balancer} of what has happened since. Times are microseconds. */
 public sealed interface News {
--- a/src/main/java/larchspool/Step.java
+++ b/src/main/java/saffronferry/Step.java
@@ -1,4 +1,4 @@
-package larchspool;
+package saffronferry;
 
 /** One thing that {@link Balancer} asks its caller to do; a list of them is carried out in order. */
 public sealed interface Step {
--- a/src/main/java/larchspool/adapter/Instance.java
+++ b/src/main/java/saffronferry/adapter/Instance.java
@@ -1,9 +1,9 @@
-package larchspool.adapter;
+package saffronferry.adapter;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import larchspool.Contract;
-import larchspool.Dispatcher;
+import saffronferry.Contract;
+import saffronferry.Dispatcher;
 import saffronferry.lifecycle.SettingsReader;
 
 /** One dispatcher of the process: its module, the names in its settings, and its actions as reply lines. */
--- a/src/main/java/larchspool/adapter/LineWriter.java
+++ b/src/main/java/saffronferry/adapter/LineWriter.java
@@ -1,4 +1,4 @@
-package larchspool.adapter;
+package saffronferry.adapter;
 
 import java.io.IOException;
 import java.io.OutputStream;
--- a/src/main/java/larchspool/adapter/Main.java
+++ b/src/main/java/saffronferry/adapter/Main.java
@@ -1,4 +1,4 @@
-package larchspool.adapter;
+package saffronferry.adapter;
 
 import java.io.EOFException;
 import java.io.FileOutputStream;
--- a/src/main/java/larchspool/adapter/Wire.java
+++ b/src/main/java/saffronferry/adapter/Wire.java
@@ -1,4 +1,4 @@
-package larchspool.adapter;
+package saffronferry.adapter;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -6,12 +6,12 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import larchspool.Contract.ListKind;
-import larchspool.Contract.Outcome;
-import larchspool.Contract.Report;
-import larchspool.Contract.Request;
-import larchspool.Contract.WorkerInfo;
-import larchspool.Contract.WorkerState;
+import saffronferry.Contract.ListKind;
+import saffronferry.Contract.Outcome;
+import saffronferry.Contract.Report;
+import saffronferry.Contract.Request;
+import saffronferry.Contract.WorkerInfo;
+import saffronferry.Contract.WorkerState;
 import saffronferry.lifecycle.SettingsReader;
 
 /** Turns the lines of the wire into events of the instances and their actions into reply lines. */
--- a/src/main/java/larchspool/adapter/WireException.java
+++ b/src/main/java/saffronferry/adapter/WireException.java
@@ -1,4 +1,4 @@
-package larchspool.adapter;
+package saffronferry.adapter;
 
 /** Malformed input: says what and where. */
 final class WireException extends RuntimeException {
--- a/src/main/java/saffronferry/lifecycle/Main.java
+++ b/src/main/java/saffronferry/lifecycle/Main.java
@@ -8,7 +8,7 @@
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> serve();
-            case "adapter" -> larchspool.adapter.Main.run();
+            case "adapter" -> saffronferry.adapter.Main.run();
             default -> {
                 System.err.println("usage: java -jar saffronferry.jar serve | adapter");
                 System.exit(2);
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -3,7 +3,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.util.concurrent.CountDownLatch;
-import larchspool.Balancer;
+import saffronferry.Balancer;
 import saffronferry.wire.BoundedLog;
 import saffronferry.wire.Wire;
 
--- a/src/main/java/saffronferry/lifecycle/SettingsReader.java
+++ b/src/main/java/saffronferry/lifecycle/SettingsReader.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import larchspool.Contract.Effect;
-import larchspool.Contract.Group;
-import larchspool.Contract.JobClass;
-import larchspool.Contract.Settings;
-import larchspool.Contract.Tenant;
+import saffronferry.Contract.Effect;
+import saffronferry.Contract.Group;
+import saffronferry.Contract.JobClass;
+import saffronferry.Contract.Settings;
+import saffronferry.Contract.Tenant;
 import org.json.JSONArray;
 import org.json.JSONException;
 import org.json.JSONObject;
--- a/src/main/java/saffronferry/state/CallAttempt.java
+++ b/src/main/java/saffronferry/state/CallAttempt.java
@@ -1,7 +1,7 @@
 package saffronferry.state;
 
-import larchspool.Contract.Outcome;
-import larchspool.Contract.Report;
+import saffronferry.Contract.Outcome;
+import saffronferry.Contract.Report;
 
 /** One call attempt. Who speaks with the subchannel tells it what comes; after its end nothing counts. */
 public final class CallAttempt {
--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -7,13 +7,13 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import larchspool.Balancer;
-import larchspool.Contract.ListKind;
-import larchspool.Contract.Outcome;
-import larchspool.Contract.Report;
-import larchspool.Contract.Request;
-import larchspool.News;
-import larchspool.Step;
+import saffronferry.Balancer;
+import saffronferry.Contract.ListKind;
+import saffronferry.Contract.Outcome;
+import saffronferry.Contract.Report;
+import saffronferry.Contract.Request;
+import saffronferry.News;
+import saffronferry.Step;
 
 /**
  * The one owner of all open RPCs: it asks the balancer, carries out what it says, and sees to it that each
--- a/src/main/java/saffronferry/state/ListUpdate.java
+++ b/src/main/java/saffronferry/state/ListUpdate.java
@@ -1,7 +1,7 @@
 package saffronferry.state;
 
 import java.util.List;
-import larchspool.Contract.WorkerInfo;
+import saffronferry.Contract.WorkerInfo;
 
 /** What discovery says: the whole list of subchannels, or the entries that changed. */
 public record ListUpdate(long revision, boolean complete, List<Entry> entries) {
--- a/src/main/java/saffronferry/state/ResolverResult.java
+++ b/src/main/java/saffronferry/state/ResolverResult.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import larchspool.Contract.WorkerState;
+import saffronferry.Contract.WorkerState;
 
 /** The list of subchannels as last told: where each is reached, by its id, and the revision to go on from. */
 final class ResolverResult {
--- a/src/main/java/saffronferry/wire/AnswerParser.java
+++ b/src/main/java/saffronferry/wire/AnswerParser.java
@@ -1,6 +1,6 @@
 package saffronferry.wire;
 
-import larchspool.Contract.Outcome;
+import saffronferry.Contract.Outcome;
 import org.json.JSONException;
 import org.json.JSONObject;
 import saffronferry.state.CallAttempt;
--- a/src/main/java/saffronferry/wire/ListParser.java
+++ b/src/main/java/saffronferry/wire/ListParser.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import larchspool.Contract.WorkerInfo;
-import larchspool.Contract.WorkerState;
+import saffronferry.Contract.WorkerInfo;
+import saffronferry.Contract.WorkerState;
 import org.json.JSONArray;
 import org.json.JSONException;
 import org.json.JSONObject;
--- a/src/main/java/saffronferry/wire/LoadParser.java
+++ b/src/main/java/saffronferry/wire/LoadParser.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 import java.util.HashMap;
-import larchspool.Contract.Report;
+import saffronferry.Contract.Report;
 import org.json.JSONObject;
 
 /** Reads load reports: {@code inflight=7,queue=2} in a header or body, or an object of a worker's line. */
--- a/src/main/java/saffronferry/wire/SubchannelClient.java
+++ b/src/main/java/saffronferry/wire/SubchannelClient.java
@@ -9,8 +9,8 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.function.BiConsumer;
-import larchspool.Contract.Outcome;
-import larchspool.Contract.Report;
+import saffronferry.Contract.Outcome;
+import saffronferry.Contract.Report;
 import saffronferry.state.CallAttempt;
 
 /** Speaks with subchannels: call attempts and probes. A connection carries one request at a time. */
--- a/src/test/java/larchspool/ColdBudgetTest.java
+++ b/src/test/java/saffronferry/ColdBudgetTest.java
@@ -1,12 +1,12 @@
-package larchspool;
+package saffronferry;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
-import larchspool.Contract.Outcome;
-import larchspool.Contract.WorkerInfo;
-import larchspool.Contract.WorkerState;
+import saffronferry.Contract.Outcome;
+import saffronferry.Contract.WorkerInfo;
+import saffronferry.Contract.WorkerState;
 import org.junit.jupiter.api.Test;
 
 /** Rule 4 over many instances: together they must not push a cold worker over. */
--- a/src/test/java/larchspool/DispatcherTest.java
+++ b/src/test/java/saffronferry/DispatcherTest.java
@@ -1,4 +1,4 @@
-package larchspool;
+package saffronferry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -8,11 +8,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import larchspool.Contract.Effect;
-import larchspool.Contract.Group;
-import larchspool.Contract.Outcome;
-import larchspool.Contract.Tenant;
-import larchspool.Contract.WorkerState;
+import saffronferry.Contract.Effect;
+import saffronferry.Contract.Group;
+import saffronferry.Contract.Outcome;
+import saffronferry.Contract.Tenant;
+import saffronferry.Contract.WorkerState;
 import org.junit.jupiter.api.Test;
 
 class DispatcherTest {
--- a/src/test/java/larchspool/FleetTest.java
+++ b/src/test/java/saffronferry/FleetTest.java
@@ -1,4 +1,4 @@
-package larchspool;
+package saffronferry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/larchspool/Rig.java
+++ b/src/test/java/saffronferry/Rig.java
@@ -1,21 +1,21 @@
-package larchspool;
+package saffronferry;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import larchspool.Contract.Effect;
-import larchspool.Contract.Group;
-import larchspool.Contract.JobClass;
-import larchspool.Contract.ListKind;
-import larchspool.Contract.Outcome;
-import larchspool.Contract.Report;
-import larchspool.Contract.Request;
-import larchspool.Contract.Settings;
-import larchspool.Contract.Tenant;
-import larchspool.Contract.WorkerInfo;
-import larchspool.Contract.WorkerState;
+import saffronferry.Contract.Effect;
+import saffronferry.Contract.Group;
+import saffronferry.Contract.JobClass;
+import saffronferry.Contract.ListKind;
+import saffronferry.Contract.Outcome;
+import saffronferry.Contract.Report;
+import saffronferry.Contract.Request;
+import saffronferry.Contract.Settings;
+import saffronferry.Contract.Tenant;
+import saffronferry.Contract.WorkerInfo;
+import saffronferry.Contract.WorkerState;
 
 /** Drives one module through the contract with a hand-set clock, and records what it does. */
 final class Rig implements Contract.Actions {
--- a/src/test/java/larchspool/RulesFuzzTest.java
+++ b/src/test/java/saffronferry/RulesFuzzTest.java
@@ -1,4 +1,4 @@
-package larchspool;
+package saffronferry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,13 +8,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import larchspool.Contract.Effect;
-import larchspool.Contract.Group;
-import larchspool.Contract.ListKind;
-import larchspool.Contract.Outcome;
-import larchspool.Contract.Request;
-import larchspool.Contract.WorkerInfo;
-import larchspool.Contract.WorkerState;
+import saffronferry.Contract.Effect;
+import saffronferry.Contract.Group;
+import saffronferry.Contract.ListKind;
+import saffronferry.Contract.Outcome;
+import saffronferry.Contract.Request;
+import saffronferry.Contract.WorkerInfo;
+import saffronferry.Contract.WorkerState;
 import org.junit.jupiter.api.Test;
 
 /** Random days: every event that the contract knows, in a seeded order; the first three rules must hold. */
--- a/src/test/java/larchspool/SizeTest.java
+++ b/src/test/java/saffronferry/SizeTest.java
@@ -1,4 +1,4 @@
-package larchspool;
+package saffronferry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 
 class SizeTest {
-    private static final Path MODULE = Path.of("src/main/java/larchspool/Dispatcher.java");
+    private static final Path MODULE = Path.of("src/main/java/saffronferry/Dispatcher.java");
 
     @Test
     void theModuleCanBeReadAtNight() throws IOException {
--- a/src/test/java/larchspool/adapter/WireTest.java
+++ b/src/test/java/saffronferry/adapter/WireTest.java
@@ -1,4 +1,4 @@
-package larchspool.adapter;
+package saffronferry.adapter;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
