--- a/src/main/java/saffronferry/Balancer.java
+++ b/src/main/java/saffronferry/Balancer.java
@@ -70,8 +70,8 @@
         }
 
         @Override
-        public void refuse(long id) {
-            list.add(new Step.Refuse(id));
+        public void refuse(long id, long retryAfter) {
+            list.add(new Step.Refuse(id, retryAfter));
         }
 
         @Override
--- a/src/main/java/saffronferry/Contract.java
+++ b/src/main/java/saffronferry/Contract.java
@@ -44,12 +44,14 @@
     /** A tenant and the requests a second, over all dispatchers, within its share; 0 = no limit known. */
     record Tenant(String name, double allowancePerS) { }
 
-    /** Start-up settings of one dispatcher. {@code overShareWorth} is relative to the class's worth. */
+    /** Start-up settings of one dispatcher. {@code overShareWorth} is relative to the class's worth;
+     * {@code maxRetryAfter} 0: clients are not told when to come back. */
     record Settings(long seed, int self, int peers, int zone, int zones, int kinds, List<JobClass> classes,
                     List<Tenant> tenants, double overShareWorth, int maxAttempts, boolean parallel,
                     boolean mayCancel, boolean mayProbe, boolean reports, boolean mayTell,
                     boolean listOnDemand, boolean tellsStart, long progressEvery, long cold, double coldShare,
-                    double fallMultiple, double peerPrice, double probePrice, double crossPrice) {
+                    double fallMultiple, long maxRetryAfter, double peerPrice, double probePrice,
+                    double crossPrice) {
         public Settings {
             require(peers >= 1, "peers", peers);
             require(zone >= 0 && zone < zones, "zone", zone);
@@ -119,8 +121,8 @@
 
         void cancel(long id, int attempt);
 
-        /** Final: refused, a retry does no harm. */
-        void refuse(long id);
+        /** Final: refused, a retry does no harm, best after {@code retryAfter}; 0 gives no advice. */
+        void refuse(long id, long retryAfter);
 
         /** Final: failed, nothing promised. */
         void fail(long id);
--- a/src/main/java/saffronferry/Step.java
+++ b/src/main/java/saffronferry/Step.java
@@ -8,8 +8,8 @@
     /** Stop waiting for one call attempt. */
     record CancelAttempt(long rpc, int attempt) implements Step { }
 
-    /** Final answer: refused, and a retry does no harm. */
-    record Refuse(long rpc) implements Step { }
+    /** Final answer: refused; a retry does no harm, best after so many microseconds (0: no advice). */
+    record Refuse(long rpc, long retryAfter) implements Step { }
 
     /** Final answer: failed, and nothing is promised. */
     record Fail(long rpc) implements Step { }
--- a/src/main/java/saffronferry/adapter/Instance.java
+++ b/src/main/java/saffronferry/adapter/Instance.java
@@ -49,8 +49,14 @@
     }
 
     @Override
-    public void refuse(long id) {
-        action("push_back").number(id).space().text("-").end();
+    public void refuse(long id, long retryAfter) {
+        LineWriter line = action("push_back").number(id).space();
+        if (retryAfter == 0) {
+            line.text("-");
+        } else {
+            line.time(retryAfter);
+        }
+        line.end();
     }
 
     @Override
--- a/src/main/java/saffronferry/lifecycle/Config.java
+++ b/src/main/java/saffronferry/lifecycle/Config.java
@@ -23,6 +23,8 @@
     /** Null where dispatchers do not speak with each other. */
     final Address peerListen;
     final List<Address> peers;
+    /** How many connections clients may hold: half of the descriptors. */
+    final int mostConnections;
     final SettingsReader settings;
     final ListParser lists;
     final ListUpdate known;
@@ -51,6 +53,7 @@
         peerListen = json.isNull("peer_listen") ? null
                 : key("peer_listen", () -> Address.parse(json.getString("peer_listen")));
         peers = key("peers", () -> peers(json.optJSONArray("peers")));
+        mostConnections = key("limits.sockets", () -> sockets(json.optJSONObject("limits")) / 2);
         long seed = key("seed", () -> json.isNull("seed") ? System.nanoTime()
                 : Long.parseUnsignedLong(json.getString("seed"), 16));
         settings = key("settings", () -> new SettingsReader(seed, json.getJSONObject("settings")));
@@ -77,6 +80,14 @@
         }
     }
 
+    private static int sockets(JSONObject limits) {
+        int sockets = limits == null || limits.isNull("sockets") ? 1024 : limits.getInt("sockets");
+        if (sockets < 64) {
+            throw new IllegalArgumentException("must be 64 at least: " + sockets);
+        }
+        return sockets;
+    }
+
     private static List<Address> peers(JSONArray array) {
         List<Address> result = new ArrayList<>();
         for (int i = 0; array != null && i < array.length(); i++) {
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -35,7 +35,7 @@
         SettingsReader s = config.settings;
         wire = new Wire(vertx, new Wire.Options(config.discovery, config.peerListen, config.peers, s.classes,
                 s.tenants, config.lists, s.fieldOf("free slots"), s.fieldOf("free memory"), s.connectTimeout,
-                s.connIdle), new Balancer(s.settings), log);
+                s.connIdle, config.mostConnections), new Balancer(s.settings), log);
         wire.begin(config.known).compose(v -> wire.server().listen(config.listen)).onSuccess(v -> {
             Runtime.getRuntime().addShutdownHook(new Thread(this::awaitDrain, "drain"));
             wire.server().ready();
--- a/src/main/java/saffronferry/lifecycle/SettingsReader.java
+++ b/src/main/java/saffronferry/lifecycle/SettingsReader.java
@@ -65,6 +65,7 @@
                     flag(limits, "peers"), top.optString("registryMode", "push").equals("ask"),
                     flag(family, "tellsStart"), micros(family, "progress"),
                     micros(rules, "cold"), number(rules, "coldShare", 1), number(rules, "fallMultiple", 1),
+                    flag(limits, "retryAfter") ? micros(limits, "maxRetryAfter") : 0,
                     number(prices, "peer", 0), number(prices, "probe", 0), number(prices, "crossZone", 0));
         } catch (JSONException e) {
             throw new IllegalArgumentException(e.getMessage());
--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -186,7 +186,7 @@
                 giveUp(rpc.attempts.get(c.attempt()), Outcome.CANCELLED);
             }
         } else if (step instanceof Step.Refuse r) {
-            finish(r.rpc(), channel -> channel.refused(0));
+            finish(r.rpc(), channel -> channel.refused(r.retryAfter()));
         } else if (step instanceof Step.Fail f) {
             finish(f.rpc(), Channel::failed);
         } else if (step instanceof Step.Probe p) {
--- a/src/main/java/saffronferry/wire/BadRequest.java
+++ b/src/main/java/saffronferry/wire/BadRequest.java
@@ -1,6 +1,6 @@
 package saffronferry.wire;
 
-/** A request that gets a 4xx; the message tells the client what is wrong. */
+/** A request that is turned away unread, mostly with a 4xx; the message tells the client why. */
 final class BadRequest extends Exception {
     private static final long serialVersionUID = 1;
     final int status;
--- a/src/main/java/saffronferry/wire/ChannelServer.java
+++ b/src/main/java/saffronferry/wire/ChannelServer.java
@@ -9,9 +9,9 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
-import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Locale;
-import java.util.Map;
+import java.util.Set;
 import saffronferry.state.Channel;
 import saffronferry.state.Ledger;
 import saffronferry.state.RpcInfo;
@@ -24,22 +24,23 @@
     private final RpcParser parser;
     private final Ledger<HttpMessage> ledger;
     private final BoundedLog log;
-    /** The open connections and how many requests each is busy with. */
-    private final Map<HttpConnection, Integer> connections = new HashMap<>();
+    /** Connections between two requests, the one longest idle first. */
+    private final Set<HttpConnection> idle = new LinkedHashSet<>();
+    private final int mostConnections;
+    private int connections;
     private boolean ready;
     private boolean draining;
     private boolean closing;
 
-    ChannelServer(Vertx vertx, RpcParser parser, Ledger<HttpMessage> ledger, BoundedLog log) {
+    ChannelServer(Vertx vertx, RpcParser parser, Ledger<HttpMessage> ledger, int mostConnections,
+            BoundedLog log) {
         this.parser = parser;
         this.ledger = ledger;
+        this.mostConnections = mostConnections;
         this.log = log;
         server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true).setReuseAddress(true)
                 .setAcceptBacklog(1024).setMaxHeaderSize(16 * 1024));
-        server.connectionHandler(c -> {
-            connections.put(c, 0);
-            c.closeHandler(v -> connections.remove(c));
-        });
+        server.connectionHandler(this::connected);
         server.requestHandler(this::handle);
         server.exceptionHandler(e -> log.line("client connection broke", String.valueOf(e.getMessage())));
     }
@@ -58,14 +59,33 @@
         draining = true;
     }
 
-    /** Takes nothing new: stops listening, closes idle connections, and the others after their answers. */
+    /** Takes nothing new: closes idle connections, and the others after their answers. */
     public void closeIdle() {
         closing = true;
-        connections.entrySet().stream().filter(e -> e.getValue() == 0).map(Map.Entry::getKey).toList()
-                .forEach(HttpConnection::close);
+        Set.copyOf(idle).forEach(HttpConnection::close);
+    }
+
+    private void connected(HttpConnection connection) {
+        connections++;
+        idle.add(connection);
+        connection.closeHandler(v -> {
+            connections--;
+            idle.remove(connection);
+        });
+        // guards the descriptor limit: beyond our part of it, the client's longest idle connection makes room
+        if (connections > mostConnections) {
+            idle.iterator().next().close();
+        }
     }
 
     private void handle(HttpServerRequest request) {
+        idle.remove(request.connection());
+        request.response().endHandler(v -> {
+            idle.add(request.connection());
+            if (closing) {
+                request.connection().close();
+            }
+        });
         if (request.method() == HttpMethod.GET && "/up".equals(request.path())) {
             boolean up = ready && !draining;
             request.response().setStatusCode(up ? 200 : 503).end(up ? "up\n" : "not up\n");
@@ -75,6 +95,10 @@
             if (request.method() != HttpMethod.POST) {
                 throw new BadRequest(405, "jobs arrive by POST");
             }
+            if (closing) {
+                // a whole answer, so that a request which crossed the end of listening is not lost
+                throw new BadRequest(503, "shutting down");
+            }
             receive(request, parser.parse(request));
         } catch (BadRequest e) {
             reject(request, e);
@@ -99,7 +123,6 @@
 
     private void open(HttpServerRequest request, RpcInfo info, Buffer body) {
         HttpServerResponse response = request.response();
-        connections.merge(request.connection(), 1, Integer::sum);
         HttpMessage message = new HttpMessage(request.method(), request.uri(), request.getHeader("X-Txn"),
                 request.getHeader("Idempotency-Key"), body);
         long[] id = {0};
@@ -138,8 +161,6 @@
         }
 
         private void end(int status, long retryAfter, String body) {
-            HttpConnection connection = request.connection();
-            connections.computeIfPresent(connection, (c, busy) -> busy - 1);
             HttpServerResponse response = request.response();
             if (response.closed() || response.ended()) {
                 return;
@@ -151,11 +172,7 @@
             if (draining) {
                 response.putHeader("Connection", "close");
             }
-            response.end(body).onComplete(v -> {
-                if (closing) {
-                    connection.close();
-                }
-            });
+            response.end(body);
         }
     }
 }
--- a/src/main/java/saffronferry/wire/SubchannelClient.java
+++ b/src/main/java/saffronferry/wire/SubchannelClient.java
@@ -18,8 +18,8 @@
     private static final int MOST_LINE = 256 * 1024;
     private static final int MOST_PROBE = 16 * 1024;
     private static final long PROBE_WAIT_MS = 500;
-    /** One host never gets more; what is asked beyond waits for a free one. */
-    private static final int MOST_CONNECTIONS = 256;
+    /** To one subchannel, well above its slots: a dozen of them stay within half of 1,024 descriptors. */
+    private static final int MOST_CONNECTIONS = 40;
     /** Of the time after which a worker closes an idle connection: a request must not cross that close. */
     private static final double IDLE_PART = 0.7;
 
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -16,7 +16,7 @@
     /** Names and figures that the speakers need. */
     public record Options(Address discovery, Address peerListen, List<Address> peers, List<String> classes,
                           List<String> tenants, ListParser lists, String freeSlots, String freeMemory,
-                          double connectTimeout, double connIdle) { }
+                          double connectTimeout, double connIdle, int mostConnections) { }
 
     private final Vertx vertx;
     private final BoundedLog log;
@@ -38,7 +38,8 @@
                 () -> ledger.report(new News.WatchLost()), log);
         peers = new PeerSocket(vertx, o.peers(),
                 (peer, bytes) -> ledger.report(new News.PeerSaid(peer, bytes)), log);
-        server = new ChannelServer(vertx, new RpcParser(o.classes(), o.tenants()), ledger, log);
+        server = new ChannelServer(vertx, new RpcParser(o.classes(), o.tenants()), ledger,
+                o.mostConnections(), log);
     }
 
     /** Opens the peers' socket, which the first decisions already use; then takes the known list in. */
--- a/src/test/java/saffronferry/DispatcherTest.java
+++ b/src/test/java/saffronferry/DispatcherTest.java
@@ -101,6 +101,34 @@
         assertEquals("refused", rig.finals.get(1L));
     }
 
+    @Test
+    void aRefusalSaysWhenToComeBackWithinWhatTheSettingsAllow() {
+        plan.maxRetryAfter = 100 * Rig.MS;
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
+        for (long id = 1; id <= 40; id++) {
+            rig.ask(id, -1);
+        }
+        rig.ask(41, 0, -1, -1, 10 * Rig.MS, false);
+        assertEquals(100 * Rig.MS, rig.retryAfters.get(41L));
+        plan.maxRetryAfter = 0;
+        Rig silent = new Rig(plan.settings()).list();
+        silent.ask(1, 0, -1, -1, 10 * Rig.MS, false);
+        assertEquals(0, silent.retryAfters.get(1L));
+    }
+
+    /** Guards against an answer held back until near the deadline though nothing can come of waiting. */
+    @Test
+    void aRequestThatNoWorkerMayTakeAnyMoreEndsAtOnce() {
+        plan.classes = List.of(Rig.jobClass(Effect.KEYED, Group.CELL));
+        plan.zones = 2;
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"), Rig.worker("b", 1, WorkerState.IN_SERVICE, 0));
+        rig.ask(1, -1);
+        rig.change(Rig.worker("a", 0, WorkerState.GONE, 0));
+        rig.answer(1, 0, Outcome.RESET);
+        rig.run(100 * Rig.MS);
+        assertEquals("failed", rig.finals.get(1L));
+    }
+
     @Test
     void anUnsafeRequestThatMayHaveRunFailsAndIsNotRepeated() {
         plan.classes = List.of(Rig.jobClass(Effect.UNSAFE, Group.ALL));
