--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -217,7 +217,13 @@
         } else if (address == null) {
             a.ended(Outcome.CONNECT_FAILED, null);
         } else {
-            a.giveUp = ports.start(rpc.message, address, rpc.deadline - now, a);
+            try {
+                a.giveUp = ports.start(rpc.message, address, rpc.deadline - now, a);
+            } catch (RuntimeException e) {
+                // guards against an attempt that never began and so would never end
+                a.ended(Outcome.CONNECT_FAILED, null);
+                throw e;
+            }
         }
     }
 
