Warm the call path before /up says 200, and forget workers long gone

Seen: on one core /up answers 0.9 to 1.2 s after the start and the first request then takes 15 to 30 ms more than the next (three starts each). Kept because it loads the classes of both ends before clients come.

Reading the module: Fleet.byAddress never forgot a worker, so every release added to it for good.

--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -10,6 +10,9 @@
 
 /** The workers, in the groups in which the module looks them up. Data only: it decides who belongs where. */
 final class Fleet {
+    /** As many known workers cost little; beyond, those that are gone are forgotten. */
+    private static final int MANY = 1024;
+
     final HashMap<String, Worker> byAddress = new HashMap<>();
     /** For each zone its workers, adopted ones included, by their hashes: the same order everywhere. */
     final Worker[][] ring;
@@ -74,6 +77,14 @@
         for (Worker w : byAddress.values()) {
             setOpen(w, false);
         }
+        forgetGone();
+    }
+
+    /** Danger: each release replaces workers by new ones; those that are gone must not fill memory. */
+    private void forgetGone() {
+        if (byAddress.size() > MANY) {
+            byAddress.values().removeIf(w -> w.state == WorkerState.GONE && w.attempts.isEmpty());
+        }
     }
 
     void arrange(int zone) {
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -46,6 +46,7 @@
                 s.tenants, config.lists, s.fieldOf("free slots"), s.fieldOf("free memory"), s.connectTimeout,
                 s.connIdle, config.mostConnections), new Balancer(s.settings), log);
         return wire.begin(config.known).compose(v -> wire.server().listen(config.listen))
+                .compose(v -> wire.warmUp(config.listen))
                 .onSuccess(v -> wire.server().ready()).mapEmpty();
     }
 
--- a/src/main/java/saffronferry/state/CallAttempt.java
+++ b/src/main/java/saffronferry/state/CallAttempt.java
@@ -27,6 +27,19 @@
         this.listener = listener;
     }
 
+    /** An attempt of no RPC: only its end is told. */
+    public static CallAttempt unheard(Runnable onEnd) {
+        return new CallAttempt(0, 0, 0, new Listener() {
+            @Override
+            public void moved(CallAttempt attempt, boolean started, double done) { }
+
+            @Override
+            public void ended(CallAttempt attempt, Outcome outcome, String result, Report load) {
+                onEnd.run();
+            }
+        });
+    }
+
     public boolean over() {
         return over;
     }
--- a/src/main/java/saffronferry/wire/ChannelServer.java
+++ b/src/main/java/saffronferry/wire/ChannelServer.java
@@ -132,7 +132,9 @@
     }
 
     private void reject(HttpServerRequest request, BadRequest bad) {
-        log.line("request rejected", bad.getMessage());
+        if (ready) {
+            log.line("request rejected", bad.getMessage());
+        }
         request.response().setStatusCode(bad.status).putHeader("Connection", "close")
                 .end(bad.getMessage() + "\n").onComplete(v -> request.connection().close());
     }
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -1,7 +1,10 @@
 package saffronferry.wire;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import saffronferry.Balancer;
 import saffronferry.News;
@@ -18,6 +21,8 @@
                           List<String> tenants, ListParser lists, String freeSlots, String freeMemory,
                           double connectTimeout, double connIdle, int mostConnections) { }
 
+    private static final long WARM_UP_MS = 500;
+
     private final Vertx vertx;
     private final BoundedLog log;
     private final SubchannelClient subchannels;
@@ -48,6 +53,18 @@
         return open.onSuccess(v -> ledger.resolved(known, true));
     }
 
+    /**
+     * Sends our own server a request that it turns away, over the path that call attempts take: the classes
+     * of both sides are loaded before the first client's request would have to wait for that.
+     */
+    public Future<Void> warmUp(Address self) {
+        Promise<Void> done = Promise.promise();
+        HttpMessage message = new HttpMessage(HttpMethod.POST, "/", "warm-up", null, Buffer.buffer());
+        subchannels.start(message, self.toString(), 0, CallAttempt.unheard(done::tryComplete));
+        vertx.setTimer(WARM_UP_MS, t -> done.tryComplete());
+        return done.future();
+    }
+
     public ChannelServer server() {
         return server;
     }
--- a/src/test/java/saffronferry/FleetTest.java
+++ b/src/test/java/saffronferry/FleetTest.java
@@ -6,6 +6,19 @@
 import org.junit.jupiter.api.Test;
 
 class FleetTest {
+    /** Guards against memory that grows with every release of the workers. */
+    @Test
+    void afterManyReleasesTheGoneAreForgotten() {
+        Fleet fleet = new Fleet(1, 1);
+        for (int i = 0; i < 2000; i++) {
+            Book.Worker w = new Book.Worker("w" + i, 0);
+            w.state = i < 10 ? Contract.WorkerState.IN_SERVICE : Contract.WorkerState.GONE;
+            fleet.byAddress.put(w.address, w);
+        }
+        fleet.closeAll();
+        assertEquals(10, fleet.byAddress.size());
+    }
+
     private static Fleet of(int workers) {
         Fleet fleet = new Fleet(1, 1);
         for (int i = 0; i < workers; i++) {
