--- a/src/main/java/saffronferry/wire/LoadParser.java
+++ b/src/main/java/saffronferry/wire/LoadParser.java
@@ -46,6 +46,10 @@
     }
 
     private Report report(Map<String, Double> values) {
+        // guards against a worker that has not measured yet: idle, it would not be without a free slot
+        if (values.values().stream().allMatch(v -> v == 0)) {
+            return null;
+        }
         Report r = new Report(values.getOrDefault("inflight", Double.NaN),
                 values.getOrDefault("queue", Double.NaN), values.getOrDefault(freeSlots, Double.NaN),
                 values.getOrDefault(freeMemory, Double.NaN));
