Survive SIGHUP and bad clients: follow discovery, limit connections, frame strictly

Checked, and at fault: - Main.serve had no handler for SIGHUP, whose default ends the JVM. - ChannelServer: Netty's decoder drops Content-Length where Transfer-Encoding is there too, so no check in the handler could see it; the chunked body's end then made the rest a request of its own, which was served. StrictDecoder keeps both headers and the handler turns the request away and reads nothing more. - With HTTP/2 in clear text enabled (the library's default) a connection is announced only with its first bytes: silent ones were never counted by `connected` and stayed for ever. That is off now, and Admission gives a request 2 s to arrive whole and lets the silent make room first. - RpcParser took any X-Txn, deadlines such as 1e9 or 5d, and X-Lane in place of the path. - DiscoveryWatch.start cut a watch that was under way; the discovery followed is asked from revision 0 until it has told something, as its count need not be the old one's.

--- a/src/main/java/saffronferry/lifecycle/Main.java
+++ b/src/main/java/saffronferry/lifecycle/Main.java
@@ -1,5 +1,7 @@
 package saffronferry.lifecycle;
 
+import sun.misc.Signal;
+
 /** Command line: {@code serve} is a real dispatcher, {@code adapter} the same decisions in the simulator. */
 public final class Main {
     private Main() { }
@@ -26,6 +28,8 @@
             return;
         }
         Node node = new Node(config);
+        // guards against the default of SIGHUP, which ends the process
+        Signal.handle(new Signal("HUP"), s -> node.reload(() -> Config.read(System.getenv())));
         Thread drain = new Thread(node::awaitDrain, "drain");
         node.start().onSuccess(v -> Runtime.getRuntime().addShutdownHook(drain)).onFailure(e -> {
             System.err.println("saffronferry: cannot start: " + e.getMessage());
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -1,10 +1,12 @@
 package saffronferry.lifecycle;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Supplier;
 import saffronferry.Balancer;
 import saffronferry.wire.BoundedLog;
 import saffronferry.wire.Wire;
@@ -18,6 +20,7 @@
 
     private final Config config;
     private final Vertx vertx;
+    private final Context context;
     private final BoundedLog log = new BoundedLog();
     private final CountDownLatch drained = new CountDownLatch(1);
     private Wire wire;
@@ -26,12 +29,13 @@
         this.config = config;
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1));
+        context = vertx.getOrCreateContext();
     }
 
     /** Completes once clients are served. */
     Future<Void> start() {
         Promise<Void> ready = Promise.promise();
-        vertx.runOnContext(v -> begin().onComplete(ready));
+        context.runOnContext(v -> begin().onComplete(ready));
         return ready.future();
     }
 
@@ -42,17 +46,33 @@
     private Future<Void> begin() {
         vertx.exceptionHandler(e -> log.line("internal error", String.valueOf(e)));
         SettingsReader s = config.settings;
-        wire = new Wire(vertx, new Wire.Options(config.discovery, config.peerListen, config.peers, s.classes,
-                s.tenants, config.lists, s.fieldOf("free slots"), s.fieldOf("free memory"), s.connectTimeout,
-                s.connIdle, config.mostConnections), new Balancer(s.settings), log);
+        wire = new Wire(vertx, new Wire.Options(config.discovery, config.peerListen, config.peers,
+                s.settings.classes(), s.tenants, config.lists, s.fieldOf("free slots"),
+                s.fieldOf("free memory"), s.connectTimeout, s.connIdle, config.mostConnections),
+                new Balancer(s.settings), log);
         return wire.begin(config.known).compose(v -> wire.server().listen(config.listen))
                 .compose(v -> wire.warmUp(config.listen))
                 .onSuccess(v -> wire.server().ready()).mapEmpty();
     }
 
+    /**
+     * SIGHUP runs this, on a thread of its own, since reading a file must not park the event loop; one at a
+     * time, so that of several the last one's file prevails. Of the new configuration only {@code
+     * discovery} is taken.
+     */
+    synchronized void reload(Supplier<Config> read) {
+        try {
+            Config next = read.get();
+            context.runOnContext(v -> wire.follow(next.discovery));
+        } catch (IllegalArgumentException e) {
+            // guards against a faulty file ending a dispatcher that serves well with the old one
+            context.runOnContext(v -> log.line("configuration not reloaded", e.getMessage()));
+        }
+    }
+
     /** SIGTERM runs this: the process ends when it returns. */
     void awaitDrain() {
-        vertx.runOnContext(v -> drain());
+        context.runOnContext(v -> drain());
         try {
             drained.await();
         } catch (InterruptedException e) {
--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import saffronferry.Balancer;
@@ -30,6 +32,7 @@
     private final Ports<M> ports;
     private final ResolverResult resolved = new ResolverResult();
     private final Map<Long, Rpc<M>> open = new HashMap<>();
+    private final Set<String> names = new HashSet<>();
     private final ArrayDeque<Supplier<List<Step>>> waiting = new ArrayDeque<>();
     private boolean running;
     private long lastId;
@@ -44,12 +47,21 @@
 
     // ---- the client's side ----
 
-    /** Takes an RPC in; the channel will get its one final answer. The id is for {@link #clientGone}. */
+    /** Whether an RPC of this name is open, or a call attempt of one that has had its answer. */
+    public boolean holds(String name) {
+        return names.contains(name);
+    }
+
+    /**
+     * Takes an RPC in, of a name that is not held; the channel will get its one final answer. The id is for
+     * {@link #clientGone}.
+     */
     public long open(RpcInfo info, M message, Channel channel) {
         long id = ++lastId;
         long now = clock.now();
-        Rpc<M> rpc = new Rpc<>(id, message, now + info.remaining(), channel);
+        Rpc<M> rpc = new Rpc<>(id, info.name(), message, now + info.remaining(), channel);
         open.put(id, rpc);
+        names.add(rpc.name);
         unanswered++;
         rpc.timer = ports.wake(info.remaining(), () -> expire(rpc));
         Request request = new Request(id, info.rpcClass(), info.tenant(), info.key(), rpc.deadline,
@@ -112,6 +124,7 @@
     private void forgetIfDone(Rpc<M> rpc) {
         if (rpc.answered() && rpc.outstanding == 0) {
             open.remove(rpc.id);
+            names.remove(rpc.name);
         }
     }
 
--- a/src/main/java/saffronferry/state/Rpc.java
+++ b/src/main/java/saffronferry/state/Rpc.java
@@ -6,6 +6,7 @@
 /** One open RPC. Only {@link Ledger} changes it. */
 public final class Rpc<M> {
     final long id;
+    final String name;
     final M message;
     final long deadline;
     final List<CallAttempt> attempts = new ArrayList<>(1);
@@ -14,8 +15,9 @@
     /** The client's side; null once it has its final answer or is gone. */
     Channel channel;
 
-    Rpc(long id, M message, long deadline, Channel channel) {
+    Rpc(long id, String name, M message, long deadline, Channel channel) {
         this.id = id;
+        this.name = name;
         this.message = message;
         this.deadline = deadline;
         this.channel = channel;
--- /dev/null
+++ b/src/main/java/saffronferry/wire/Admission.java
@@ -0,0 +1,130 @@
+package saffronferry.wire;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Which connections of clients may stay. A request has so long to arrive whole, counted for the first one
+ * from the connection's start, so that silence and half a request cost a descriptor no longer than that.
+ * Beyond the descriptors kept for clients, connections that never sent a request make room first, then
+ * those idle longest; one at work on a request never does. A connection idle between requests has no time
+ * limit.
+ */
+final class Admission {
+    /** A client that says nothing, or half a request, is owed an end within 3 s of connecting. */
+    static final long REQUEST_MS = 2_000;
+
+    private final Vertx vertx;
+    private final int most;
+    private final Map<HttpConnection, Visit> visits = new HashMap<>();
+    private final Set<Visit> silent = new LinkedHashSet<>();
+    private final Set<Visit> idle = new LinkedHashSet<>();
+
+    /** One connection, from its start to its end. */
+    private static final class Visit {
+        final HttpConnection connection;
+        /** Runs out when a request has taken too long; -1 while none is under way. */
+        long timer = -1;
+        Runnable onTooLate;
+        boolean doomed;
+
+        Visit(HttpConnection connection) {
+            this.connection = connection;
+            onTooLate = connection::close;
+        }
+    }
+
+    Admission(Vertx vertx, int most) {
+        this.vertx = vertx;
+        this.most = most;
+    }
+
+    void connected(HttpConnection connection) {
+        Visit visit = new Visit(connection);
+        visits.put(connection, visit);
+        silent.add(visit);
+        await(visit);
+        connection.closeHandler(v -> forget(visit));
+        if (visits.size() > most) {
+            makeRoom(visit);
+        }
+    }
+
+    /** Guards the descriptor limit, and usual clients against crowds that connect and say nothing. */
+    private void makeRoom(Visit newcomer) {
+        Iterator<Visit> candidates = (silent.size() > 1 || idle.isEmpty() ? silent : idle).iterator();
+        Visit loser = candidates.hasNext() ? candidates.next() : newcomer;
+        forget(loser); // at once: the next newcomer must not find the same one again
+        loser.connection.close();
+    }
+
+    private void forget(Visit visit) {
+        visits.remove(visit.connection);
+        silent.remove(visit);
+        idle.remove(visit);
+        arrived(visit);
+    }
+
+    private void await(Visit visit) {
+        visit.timer = vertx.setTimer(REQUEST_MS, t -> {
+            visit.timer = -1;
+            visit.onTooLate.run();
+        });
+    }
+
+    private void arrived(Visit visit) {
+        if (visit.timer >= 0) {
+            vertx.cancelTimer(visit.timer);
+            visit.timer = -1;
+        }
+    }
+
+    /** A request's head has arrived; false if nothing more is taken from this connection. */
+    boolean begin(HttpConnection connection, Runnable onTooLate) {
+        Visit visit = visits.get(connection);
+        if (visit == null || visit.doomed) {
+            return false;
+        }
+        idle.remove(visit);
+        visit.onTooLate = onTooLate;
+        if (visit.timer < 0) {
+            await(visit);
+        }
+        return true;
+    }
+
+    /** The request has arrived whole: how long it now takes is not the client's doing. */
+    void whole(HttpConnection connection) {
+        Visit visit = visits.get(connection);
+        if (visit != null) {
+            silent.remove(visit);
+            arrived(visit);
+        }
+    }
+
+    /** The request has its answer. */
+    void answered(HttpConnection connection) {
+        Visit visit = visits.get(connection);
+        if (visit != null && !visit.doomed) {
+            idle.add(visit);
+        }
+    }
+
+    /** What else the connection holds is left unread: it may be part of the request that was turned away. */
+    void doom(HttpConnection connection) {
+        Visit visit = visits.get(connection);
+        if (visit != null) {
+            visit.doomed = true;
+        }
+    }
+
+    /** Closes the connections that are at no request; new ones are to be closed as they are answered. */
+    void closeIdle() {
+        Set.copyOf(idle).forEach(visit -> visit.connection.close());
+    }
+}
--- a/src/main/java/saffronferry/wire/ChannelServer.java
+++ b/src/main/java/saffronferry/wire/ChannelServer.java
@@ -9,9 +9,8 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
-import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Locale;
-import java.util.Set;
 import saffronferry.state.Channel;
 import saffronferry.state.Ledger;
 import saffronferry.state.RpcInfo;
@@ -19,15 +18,14 @@
 /** Serves clients: reads whole requests, opens an RPC for each and writes its answer. */
 public final class ChannelServer {
     static final int MOST_BODY = 64 * 1024;
+    private static final int MOST_HEAD = 16 * 1024;
+    private static final String TOO_LONG = "a body holds 64 KiB at most";
 
     private final HttpServer server;
     private final RpcParser parser;
     private final Ledger<HttpMessage> ledger;
+    private final Admission admission;
     private final BoundedLog log;
-    /** Connections between two requests, the one longest idle first. */
-    private final Set<HttpConnection> idle = new LinkedHashSet<>();
-    private final int mostConnections;
-    private int connections;
     private boolean ready;
     private boolean draining;
     private boolean closing;
@@ -36,11 +34,17 @@
             BoundedLog log) {
         this.parser = parser;
         this.ledger = ledger;
-        this.mostConnections = mostConnections;
         this.log = log;
-        server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true).setReuseAddress(true)
-                .setAcceptBacklog(1024).setMaxHeaderSize(16 * 1024));
-        server.connectionHandler(this::connected);
+        admission = new Admission(vertx, mostConnections);
+        // guards against silent connections that nobody counts: where HTTP/2 may be spoken too, a
+        // connection is announced only once its first bytes are here
+        HttpServerOptions options = new HttpServerOptions().setTcpNoDelay(true).setReuseAddress(true)
+                .setHttp2ClearTextEnabled(false).setAcceptBacklog(1024).setMaxHeaderSize(MOST_HEAD);
+        server = vertx.createHttpServer(options);
+        server.connectionHandler(connection -> {
+            StrictDecoder.install(connection, options);
+            admission.connected(connection);
+        });
         server.requestHandler(this::handle);
         server.exceptionHandler(e -> log.line("client connection broke", String.valueOf(e.getMessage())));
     }
@@ -62,36 +66,29 @@
     /** Takes nothing new: closes idle connections, and the others after their answers. */
     public void closeIdle() {
         closing = true;
-        Set.copyOf(idle).forEach(HttpConnection::close);
-    }
-
-    private void connected(HttpConnection connection) {
-        connections++;
-        idle.add(connection);
-        connection.closeHandler(v -> {
-            connections--;
-            idle.remove(connection);
-        });
-        // guards the descriptor limit: beyond our part of it, the client's longest idle connection makes room
-        if (connections > mostConnections) {
-            idle.iterator().next().close();
-        }
+        admission.closeIdle();
     }
 
     private void handle(HttpServerRequest request) {
-        idle.remove(request.connection());
+        HttpConnection connection = request.connection();
+        request.exceptionHandler(e -> { });
+        if (!admission.begin(connection, () -> reject(request, new BadRequest(408, "too slow")))) {
+            return;
+        }
         request.response().endHandler(v -> {
-            idle.add(request.connection());
+            admission.answered(connection);
             if (closing) {
-                request.connection().close();
+                connection.close();
             }
         });
-        if (request.method() == HttpMethod.GET && "/up".equals(request.path())) {
-            boolean up = ready && !draining;
-            request.response().setStatusCode(up ? 200 : 503).end(up ? "up\n" : "not up\n");
-            return;
-        }
         try {
+            framing(request);
+            if (request.method() == HttpMethod.GET && "/up".equals(request.path())) {
+                admission.whole(connection);
+                boolean up = ready && !draining;
+                request.response().setStatusCode(up ? 200 : 503).end(up ? "up\n" : "not up\n");
+                return;
+            }
             if (request.method() != HttpMethod.POST) {
                 throw new BadRequest(405, "jobs arrive by POST");
             }
@@ -105,25 +102,45 @@
         }
     }
 
+    /** Guards against a request that hides another in its body, and against reading what is too long. */
+    private static void framing(HttpServerRequest request) throws BadRequest {
+        String length = request.getHeader("Content-Length");
+        List<String> encodings = request.headers().getAll("Transfer-Encoding");
+        if (!encodings.isEmpty() && (length != null || !List.of("chunked").equals(encodings))) {
+            throw new BadRequest(400, "a body is framed by Content-Length, or else it is chunked");
+        }
+        if (length != null && Long.parseLong(length) > MOST_BODY) {
+            throw new BadRequest(413, TOO_LONG);
+        }
+    }
+
     /** Guards against half a request reaching the balancer: an RPC opens only with its whole body. */
     private void receive(HttpServerRequest request, RpcInfo info) {
+        if ("100-continue".equalsIgnoreCase(request.getHeader("Expect"))) {
+            request.response().writeContinue();
+        }
         Buffer body = Buffer.buffer();
-        request.exceptionHandler(e -> { });
         request.handler(chunk -> {
             if (body.length() + chunk.length() > MOST_BODY) {
-                request.handler(null);
-                request.endHandler(null);
-                reject(request, new BadRequest(413, "a body holds 64 KiB at most"));
+                reject(request, new BadRequest(413, TOO_LONG));
             } else {
                 body.appendBuffer(chunk);
             }
         });
-        request.endHandler(v -> open(request, info, body));
+        request.endHandler(v -> {
+            admission.whole(request.connection());
+            open(request, info, body);
+        });
     }
 
     private void open(HttpServerRequest request, RpcInfo info, Buffer body) {
+        // guards an open RPC against a newcomer of the same name: workers would take the two for one
+        if (ledger.holds(info.name())) {
+            reject(request, new BadRequest(409, "a request with this X-Txn is open"));
+            return;
+        }
         HttpServerResponse response = request.response();
-        HttpMessage message = new HttpMessage(request.method(), request.uri(), request.getHeader("X-Txn"),
+        HttpMessage message = new HttpMessage(request.method(), request.uri(), info.name(),
                 request.getHeader("Idempotency-Key"), body);
         long[] id = {0};
         response.closeHandler(v -> ledger.clientGone(id[0]));
@@ -135,6 +152,9 @@
         if (ready) {
             log.line("request rejected", bad.getMessage());
         }
+        request.handler(null);
+        request.endHandler(null);
+        admission.doom(request.connection());
         request.response().setStatusCode(bad.status).putHeader("Connection", "close")
                 .end(bad.getMessage() + "\n").onComplete(v -> request.connection().close());
     }
--- a/src/main/java/saffronferry/wire/DiscoveryWatch.java
+++ b/src/main/java/saffronferry/wire/DiscoveryWatch.java
@@ -15,16 +15,18 @@
     /** An empty line comes every 2 s, and a call may wait 3 s in discovery's queue. */
     private static final long SILENCE_MS = 4_500;
     private static final int MOST_LINE = 4 * 1024 * 1024;
-    private static final int CONNECT_MS = 2_000;
+    private static final int CONNECT_MS = 1_000;
 
     private final Vertx vertx;
     private final HttpClient client;
-    private final Address discovery;
+    private Address discovery;
     private final ListParser parser;
     private final Consumer<ListUpdate> told;
     private final Runnable lost;
     private final BoundedLog log;
     private Watch current;
+    /** Whether this discovery has told nothing yet, so that the revision held is another's. */
+    private boolean strange;
 
     DiscoveryWatch(Vertx vertx, Address discovery, ListParser parser, Consumer<ListUpdate> told,
             Runnable lost, BoundedLog log) {
@@ -38,15 +40,35 @@
                 .setConnectTimeout(CONNECT_MS));
     }
 
-    /** Watches from a revision on, in place of any earlier watch. */
+    /** Watches from a revision on. One that is under way goes on: asking twice would queue behind it. */
     void start(long revision) {
-        stop();
+        if (current != null && !current.over) {
+            return;
+        }
         current = new Watch();
         client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(discovery.host())
-                .setPort(discovery.port()).setURI("/discovery/hosts?watch=1&from=" + revision))
+                .setPort(discovery.port())
+                .setURI("/discovery/hosts?watch=1&from=" + (strange ? 0 : revision)))
                 .onSuccess(current::connected).onFailure(current::end);
     }
 
+    /**
+     * Goes over to another discovery at once. It is asked from the first revision on, since its count need
+     * not be that of the one before: from a number that it has not reached, it might leave changes out.
+     */
+    void follow(Address next) {
+        if (next.equals(discovery)) {
+            return;
+        }
+        log.line("discovery", "now " + next + ", formerly " + discovery);
+        discovery = next;
+        strange = true;
+        if (current != null) {
+            stop();
+            start(0);
+        }
+    }
+
     void stop() {
         if (current != null) {
             current.close();
@@ -82,11 +104,11 @@
         }
 
         private void answered(HttpClientResponse response) {
+            response.exceptionHandler(this::end);
             if (response.statusCode() != 200) {
                 end(new IllegalStateException("status " + response.statusCode()));
                 return;
             }
-            response.exceptionHandler(this::end);
             response.endHandler(v -> end(new IllegalStateException("end of the answer")));
             response.handler(chunk -> {
                 if (!over) {
@@ -102,7 +124,9 @@
 
         private void line(String line) {
             if (!line.isEmpty() && !over) {
-                told.accept(parser.parse(line));
+                ListUpdate update = parser.parse(line);
+                strange = false;
+                told.accept(update);
             }
         }
 
--- a/src/main/java/saffronferry/wire/RpcParser.java
+++ b/src/main/java/saffronferry/wire/RpcParser.java
@@ -2,42 +2,66 @@
 
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
-import java.util.function.UnaryOperator;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+import saffronferry.Contract.Effect;
+import saffronferry.Contract.JobClass;
 import saffronferry.state.RpcInfo;
 
 /** Reads what a client's headers and query say of an RPC. */
 final class RpcParser {
-    /** The most that a client can be made to wait for: it bounds the deadline's timer. */
-    private static final long MOST_MS = 3_600_000;
+    private static final Pattern NAME = Pattern.compile("[0-9A-Za-z._:-]{1,64}");
+    private static final Pattern KEY = Pattern.compile("[!-~]{1,128}");
+    private static final Pattern DIGITS = Pattern.compile("[0-9]{1,12}");
+    /** A client waits no longer than its class's deadline; some room is left for how it counts that. */
+    private static final int DEADLINES = 2;
+    /** Microseconds, where the class states no deadline. */
+    private static final long LONGEST = 3_600_000_000L;
     private static final int MOST_SLOTS = 255;
 
     private final List<String> classes;
+    private final List<Boolean> keyed;
+    private final List<Long> longest;
     private final List<String> tenants;
 
-    RpcParser(List<String> classes, List<String> tenants) {
-        this.classes = classes;
+    RpcParser(List<JobClass> classes, List<String> tenants) {
+        this.classes = classes.stream().map(JobClass::name).toList();
+        keyed = classes.stream().map(c -> c.effect() == Effect.KEYED).toList();
+        longest = classes.stream().map(c -> c.deadline() > 0 ? DEADLINES * c.deadline() : LONGEST).toList();
         this.tenants = tenants;
     }
 
     RpcInfo parse(HttpServerRequest request) throws BadRequest {
-        return parse(request.path(), request.query(), request::getHeader);
+        return parse(request.path(), request.query(), request.headers()::getAll);
     }
 
-    /** The query and any header may be null. */
-    RpcInfo parse(String path, String query, UnaryOperator<String> header) throws BadRequest {
-        String lane = header.apply("X-Lane");
-        int rpcClass = classes.indexOf(lane != null ? lane : firstPart(path));
+    /** The query may be null, the values of a header none. */
+    RpcInfo parse(String path, String query, Function<String, List<String>> headers) throws BadRequest {
+        String lane = one(headers, "X-Lane");
+        String place = firstPart(path);
+        int rpcClass = classes.indexOf(place);
         if (rpcClass < 0) {
-            throw new BadRequest(404, "unknown class in X-Lane or path");
+            throw new BadRequest(404, "unknown class in the path");
         }
-        if (header.apply("X-Txn") == null) {
-            throw new BadRequest(400, "X-Txn is missing");
+        if (lane != null && !lane.equals(place)) {
+            throw new BadRequest(400, "X-Lane and path name different classes");
         }
-        String org = header.apply("X-Org");
+        String name = one(headers, "X-Txn");
+        if (name == null || !NAME.matcher(name).matches()) {
+            throw new BadRequest(400, "X-Txn must be an id of at most 64 letters, digits and -._:");
+        }
+        String key = one(headers, "Idempotency-Key");
+        if (key != null && !KEY.matcher(key).matches()) {
+            throw new BadRequest(400, "Idempotency-Key must be at most 128 printable characters");
+        }
+        if (key == null && keyed.get(rpcClass)) {
+            throw new BadRequest(400, "Idempotency-Key is missing");
+        }
+        String org = one(headers, "X-Org");
         int slots = 1;
         double memory = 0;
         double hint = Double.NaN;
-        String labels = header.apply("X-Labels");
+        String labels = one(headers, "X-Labels");
         for (String label : labels == null || labels.isBlank() ? new String[0] : labels.split(",")) {
             int at = label.indexOf('=');
             if (at < 0) {
@@ -50,9 +74,18 @@
                 default -> { }
             }
         }
-        return new RpcInfo(rpcClass, org == null ? -1 : tenants.indexOf(org), key(query),
-                remaining(header.apply("X-Remaining-Ms")), hint, slots, memory,
-                "1".equals(header.apply("X-Resent")));
+        return new RpcInfo(name, rpcClass, org == null ? -1 : tenants.indexOf(org), key(query),
+                remaining(one(headers, "X-Remaining-Ms"), rpcClass), hint, slots, memory,
+                "1".equals(one(headers, "X-Resent")));
+    }
+
+    /** Guards against a header given twice, of which a worker may read the other one. */
+    private static String one(Function<String, List<String>> headers, String name) throws BadRequest {
+        List<String> values = headers.apply(name);
+        if (values.size() > 1) {
+            throw new BadRequest(400, name + " is given more than once");
+        }
+        return values.isEmpty() ? null : values.get(0);
     }
 
     private static String firstPart(String path) {
@@ -61,11 +94,15 @@
         return path.substring(from, to < 0 ? path.length() : to);
     }
 
-    private static long remaining(String ms) throws BadRequest {
-        if (ms == null) {
-            throw new BadRequest(400, "X-Remaining-Ms is missing");
+    private long remaining(String ms, int rpcClass) throws BadRequest {
+        if (ms == null || !DIGITS.matcher(ms).matches()) {
+            throw new BadRequest(400, "X-Remaining-Ms must be a whole number of milliseconds");
+        }
+        long micros = Long.parseLong(ms) * 1000;
+        if (micros > longest.get(rpcClass)) {
+            throw new BadRequest(400, "X-Remaining-Ms is far beyond the deadline of the class");
         }
-        return (long) (number("X-Remaining-Ms", ms, 0, MOST_MS) * 1000);
+        return micros;
     }
 
     private static double number(String what, String text, double least, double most) throws BadRequest {
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import saffronferry.Balancer;
+import saffronferry.Contract.JobClass;
 import saffronferry.News;
 import saffronferry.state.CallAttempt;
 import saffronferry.state.Clock;
@@ -17,7 +18,7 @@
 /** Joins what is spoken on the sockets with what is kept in memory. */
 public final class Wire implements Ports<HttpMessage> {
     /** Names and figures that the speakers need. */
-    public record Options(Address discovery, Address peerListen, List<Address> peers, List<String> classes,
+    public record Options(Address discovery, Address peerListen, List<Address> peers, List<JobClass> classes,
                           List<String> tenants, ListParser lists, String freeSlots, String freeMemory,
                           double connectTimeout, double connIdle, int mostConnections) { }
 
@@ -65,6 +66,11 @@
         return done.future();
     }
 
+    /** Asks another discovery from now on; the list held, the subchannels and the RPCs stay. */
+    public void follow(Address next) {
+        discovery.follow(next);
+    }
+
     public ChannelServer server() {
         return server;
     }
--- /dev/null
+++ b/src/test/java/saffronferry/lifecycle/ReloadTest.java
@@ -0,0 +1,60 @@
+package saffronferry.lifecycle;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import org.junit.Test;
+
+/** SIGHUP on the program itself: it serves on, and asks the discovery that the new file names. */
+public class ReloadTest extends SocketsFixture {
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    @Test
+    public void sighupFollowsTheNewDiscoveryAndKeepsTheRest() throws Exception {
+        Peer.Script slow = (request, out) -> {
+            Thread.sleep(1000);
+            return Peer.serve(request, out);
+        };
+        a.script = slow;
+        b.script = slow;
+        Path file = configFile();
+        Process process = startProcess(file);
+        await(() -> discovery.requests.size() == 1);
+        CompletableFuture<HttpResponse<String>> open = gift(8000);
+        await(() -> a.requests.size() + b.requests.size() == 1);
+
+        Files.writeString(file, "{\"listen\": 7}");
+        hangUp(process);
+        Thread.sleep(300);
+        assertTrue("a faulty file ends nothing", process.isAlive());
+
+        // the new one counts its revisions anew, fails at first, and says that one worker drains
+        Peer next = keep(new Peer(Peer.status("503 Late", "")));
+        Files.writeString(file, config.put("discovery", next.address()).toString());
+        hangUp(process);
+        await(() -> next.requests.size() == 1);
+        next.script = tell("{\"revision\":1,\"complete\":false,\"members\":["
+                + entry("a", a.address(), 1, "DRAINING", 0) + "]}");
+        await(() -> next.requests.size() == 2);
+        for (String request : next.requests) {
+            assertTrue(request, request.contains("from=0 "));
+        }
+        assertEquals("the open RPC goes on", 200, get(open).statusCode());
+        a.requests.clear();
+        Thread.sleep(300);
+        assertEquals("the list held stays", 200, get(gift(8000)).statusCode());
+        assertEquals("and what is new is followed", 0, a.requests.size());
+
+        hangUp(process);
+        process.destroy();
+        assertTrue(process.waitFor(5, java.util.concurrent.TimeUnit.SECONDS));
+        assertEquals("SIGTERM's, not SIGHUP's", 143, process.exitValue());
+        assertEquals("the same address is not asked again", 2, next.requests.size());
+    }
+}
--- a/src/test/java/saffronferry/lifecycle/RulesOnSocketsTest.java
+++ b/src/test/java/saffronferry/lifecycle/RulesOnSocketsTest.java
@@ -4,126 +4,20 @@
 import static org.junit.Assert.assertFalse;
 import static org.junit.Assert.assertTrue;
 
-import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.URI;
-import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
-import org.json.JSONArray;
-import org.json.JSONObject;
 import org.junit.After;
-import org.junit.Before;
 import org.junit.Test;
 
 /** Each rule once, with a whole dispatcher on real sockets between scripted peers. */
-public class RulesOnSocketsTest {
-    private static final String KEY = "Idempotency-Key";
-    private final List<AutoCloseable> open = new ArrayList<>();
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-    private Peer discovery;
-    private Peer a;
-    private Peer b;
-    private DatagramSocket peer;
-    private JSONObject config;
-
-    @Before
-    public void setUp() throws IOException {
-        discovery = keep(new Peer((request, out) -> {
-            Peer.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-            Peer.chunk(out, "{\"revision\":1,\"complete\":false,\"members\":[]}");
-            for (int i = 0; i < 60; i++) {
-                Thread.sleep(1000);
-                Peer.chunk(out, "");
-            }
-            return false;
-        }));
-        a = keep(new Peer(Peer::serve));
-        b = keep(new Peer(Peer::serve));
-        peer = keep(new DatagramSocket(0, InetAddress.getByName("127.0.0.1")));
-        peer.setSoTimeout(3000);
-        config = new JSONObject(Files.readString(Path.of("examples/config.json")));
-        int udp = freePort();
-        config.put("listen", "127.0.0.1:" + freePort()).put("discovery", discovery.address())
-                .put("peer_listen", "127.0.0.1:" + udp)
-                .put("peers", new JSONArray().put("127.0.0.1:" + udp).put("127.0.0.1:" + peer.getLocalPort()));
-        config.getJSONObject("settings").put("peersTotal", 2);
-        members(entry("a", a.address(), 1, "SERVING", 0), entry("b", b.address(), 2, "SERVING", 0));
-    }
-
-    @After
-    public void tearDown() throws Exception {
-        for (int i = open.size(); i > 0; i--) {
-            open.get(i - 1).close();
-        }
-    }
-
-    private <T extends AutoCloseable> T keep(T resource) {
-        open.add(resource);
-        return resource;
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
-        }
-    }
-
-    private static String entry(String id, String address, int cell, String phase, long upSince) {
-        return "{\"id\":\"" + id + "\",\"host_port\":\"" + address + "\",\"locality\":\"dub-north\",\"flavor\":\"big-box\","
-                + "\"cell\":" + cell + ",\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":" + upSince + "}";
-    }
-
-    private void members(String... entries) {
-        config.put("known", new JSONObject("{\"revision\":1,\"complete\":true,\"members\":["
-                + String.join(",", entries) + "]}"));
-    }
-
-    private void start() throws Exception {
-        Node node = new Node(new Config(config));
-        keep(() -> node.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS));
-        node.start().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
-    }
-
-    private HttpRequest.Builder request(String path) {
-        return HttpRequest.newBuilder(URI.create("http://" + config.getString("listen") + path));
-    }
-
-    private CompletableFuture<HttpResponse<String>> ask(String lane, int remaining, String... more) {
-        HttpRequest.Builder r = request("/" + lane + "?obj=7f").header("X-Txn", "t1").header("X-Lane", lane)
-                .header("X-Remaining-Ms", Integer.toString(remaining));
-        if (more.length > 0) {
-            r.headers(more);
-        }
-        return client.sendAsync(r.POST(HttpRequest.BodyPublishers.ofString("body")).build(),
-                HttpResponse.BodyHandlers.ofString());
-    }
-
-    private CompletableFuture<HttpResponse<String>> gift(int remaining) {
-        return ask("record-gift", remaining, KEY, "k1");
-    }
-
-    private static HttpResponse<String> get(CompletableFuture<HttpResponse<String>> answer) throws Exception {
-        return answer.get(10, TimeUnit.SECONDS);
-    }
-
-    private static void await(BooleanSupplier what) throws InterruptedException {
-        for (int i = 0; i < 2000 && !what.getAsBoolean(); i++) {
-            Thread.sleep(10);
-        }
-        assertTrue(what.getAsBoolean());
-    }
-
+public class RulesOnSocketsTest extends SocketsFixture {
     @Test
     public void aServedRpcHasTheWorkersResultAndPassesOnWhatItMust() throws Exception {
         b.close();
@@ -270,7 +164,7 @@
         assertEquals(404, get(ask("no-such-class", 1000)).statusCode());
         assertEquals(400, get(ask("record-gift", -5)).statusCode());
         assertEquals(405, client.send(request("/x").GET().build(), HttpResponse.BodyHandlers.ofString()).statusCode());
-        HttpRequest big = request("/record-gift").header("X-Txn", "t").header("X-Remaining-Ms", "900")
+        HttpRequest big = request("/record-gift").header("X-Txn", "t").header("X-Remaining-Ms", "900").header(KEY, "k")
                 .POST(HttpRequest.BodyPublishers.ofByteArray(new byte[65_537])).build();
         assertEquals(413, client.send(big, HttpResponse.BodyHandlers.ofString()).statusCode());
         assertEquals(200, get(gift(3000)).statusCode());
@@ -293,10 +187,9 @@
         a.script = Peer::keepSilent;
         b.script = Peer::keepSilent;
         start();
-        try (java.net.Socket s = new java.net.Socket("127.0.0.1",
-                Integer.parseInt(config.getString("listen").split(":")[1]))) {
+        try (java.net.Socket s = connect()) {
             Peer.write(s.getOutputStream(), "POST /record-gift HTTP/1.1\r\nHost: h\r\nX-Txn: t\r\n"
-                    + "X-Remaining-Ms: 20000\r\nContent-Length: 0\r\n\r\n");
+                    + "X-Remaining-Ms: 20000\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n");
             await(() -> a.requests.size() + b.requests.size() == 1);
         }
         await(() -> a.closedByOther.get() + b.closedByOther.get() >= 1);
@@ -310,22 +203,7 @@
             return Peer.serve(request, out);
         };
         b.script = a.script;
-        Path file = Files.createTempFile("config", ".json");
-        keep(() -> Files.delete(file));
-        Files.writeString(file, config.toString());
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "saffronferry.lifecycle.Main", "serve");
-        builder.environment().put("BALANCER_CONFIG", file.toString());
-        Process process = builder.inheritIO().start();
-        keep(process::destroyForcibly);
-        HttpRequest up = request("/up").GET().build();
-        await(() -> {
-            try {
-                return client.send(up, HttpResponse.BodyHandlers.ofString()).statusCode() == 200;
-            } catch (IOException | InterruptedException e) {
-                return false;
-            }
-        });
+        Process process = startProcess(configFile());
         CompletableFuture<HttpResponse<String>> before = gift(8000);
         await(() -> a.requests.size() + b.requests.size() == 1);
         process.destroy();
--- /dev/null
+++ b/src/test/java/saffronferry/lifecycle/SocketsFixture.java
@@ -0,0 +1,182 @@
+package saffronferry.lifecycle;
+
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.json.JSONArray;
+import org.json.JSONObject;
+import org.junit.After;
+import org.junit.Before;
+
+/** A whole dispatcher on real sockets between scripted peers: discovery, two subchannels and a dispatcher. */
+abstract class SocketsFixture {
+    static final String KEY = "Idempotency-Key";
+    final List<AutoCloseable> open = new ArrayList<>();
+    final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    Peer discovery;
+    Peer a;
+    Peer b;
+    DatagramSocket peer;
+    int asked;
+    JSONObject config;
+
+    @Before
+    public void setUp() throws IOException {
+        discovery = keep(new Peer(tell("{\"revision\":1,\"complete\":false,\"members\":[]}")));
+        a = keep(new Peer(Peer::serve));
+        b = keep(new Peer(Peer::serve));
+        peer = keep(new DatagramSocket(0, InetAddress.getByName("127.0.0.1")));
+        peer.setSoTimeout(3000);
+        config = new JSONObject(Files.readString(Path.of("examples/config.json")));
+        int udp = freePort();
+        config.put("listen", "127.0.0.1:" + freePort()).put("discovery", discovery.address())
+                .put("peer_listen", "127.0.0.1:" + udp)
+                .put("peers", new JSONArray().put("127.0.0.1:" + udp).put("127.0.0.1:" + peer.getLocalPort()));
+        config.getJSONObject("settings").put("peersTotal", 2);
+        members(entry("a", a.address(), 1, "SERVING", 0), entry("b", b.address(), 2, "SERVING", 0));
+    }
+
+    @After
+    public void tearDown() throws Exception {
+        for (int i = open.size(); i > 0; i--) {
+            open.get(i - 1).close();
+        }
+    }
+
+    <T extends AutoCloseable> T keep(T resource) {
+        open.add(resource);
+        return resource;
+    }
+
+    /** A watch that tells one list and then only that it lives. */
+    static Peer.Script tell(String list) {
+        return (request, out) -> {
+            Peer.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            Peer.chunk(out, list);
+            for (int i = 0; i < 60; i++) {
+                Thread.sleep(1000);
+                Peer.chunk(out, "");
+            }
+            return false;
+        };
+    }
+
+    static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return s.getLocalPort();
+        }
+    }
+
+    static String entry(String id, String address, int cell, String phase, long upSince) {
+        return "{\"id\":\"" + id + "\",\"host_port\":\"" + address + "\",\"locality\":\"dub-north\",\"flavor\":\"big-box\","
+                + "\"cell\":" + cell + ",\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":" + upSince + "}";
+    }
+
+    void members(String... entries) {
+        config.put("known", new JSONObject("{\"revision\":1,\"complete\":true,\"members\":["
+                + String.join(",", entries) + "]}"));
+    }
+
+    void start() throws Exception {
+        Node node = new Node(new Config(config));
+        keep(() -> node.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS));
+        node.start().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+
+    HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + config.getString("listen") + path));
+    }
+
+    CompletableFuture<HttpResponse<String>> ask(String lane, int remaining, String... more) {
+        return ask("t" + ++asked, lane, remaining, more);
+    }
+
+    CompletableFuture<HttpResponse<String>> ask(String txn, String lane, int remaining, String... more) {
+        HttpRequest.Builder r = request("/" + lane + "?obj=7f").header("X-Txn", txn).header("X-Lane", lane)
+                .header("X-Remaining-Ms", Integer.toString(remaining));
+        if (more.length > 0) {
+            r.headers(more);
+        }
+        return client.sendAsync(r.POST(HttpRequest.BodyPublishers.ofString("body")).build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    CompletableFuture<HttpResponse<String>> gift(int remaining) {
+        return ask("record-gift", remaining, KEY, "k1");
+    }
+
+    static HttpResponse<String> get(CompletableFuture<HttpResponse<String>> answer) throws Exception {
+        return answer.get(10, TimeUnit.SECONDS);
+    }
+
+    static void await(BooleanSupplier what) throws InterruptedException {
+        for (int i = 0; i < 2000 && !what.getAsBoolean(); i++) {
+            Thread.sleep(10);
+        }
+        assertTrue(what.getAsBoolean());
+    }
+
+    /** A raw connection to the dispatcher; reading from it fails after 5 s. */
+    Socket connect() throws IOException {
+        Socket s = keep(new Socket("127.0.0.1", Integer.parseInt(config.getString("listen").split(":")[1])));
+        s.setSoTimeout(5000);
+        return s;
+    }
+
+    /** What arrives until the other side closes. */
+    static String readAll(Socket s) throws IOException {
+        StringBuilder text = new StringBuilder();
+        InputStream in = s.getInputStream();
+        try {
+            for (int b = in.read(); b >= 0; b = in.read()) {
+                text.append((char) b);
+            }
+        } catch (java.net.SocketException e) {
+            // a reset is a close, too
+        }
+        return text.toString();
+    }
+
+    /** The configuration in a file of its own. */
+    Path configFile() throws IOException {
+        Path file = Files.createTempFile("config", ".json");
+        keep(() -> Files.delete(file));
+        Files.writeString(file, config.toString());
+        return file;
+    }
+
+    /** The program itself, in a process of its own, once it serves. */
+    Process startProcess(Path file) throws Exception {
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "saffronferry.lifecycle.Main", "serve");
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        Process process = builder.inheritIO().start();
+        keep(process::destroyForcibly);
+        HttpRequest up = request("/up").GET().build();
+        await(() -> {
+            try {
+                return client.send(up, HttpResponse.BodyHandlers.ofString()).statusCode() == 200;
+            } catch (IOException | InterruptedException e) {
+                return false;
+            }
+        });
+        return process;
+    }
+}
--- a/src/test/java/saffronferry/state/LedgerTest.java
+++ b/src/test/java/saffronferry/state/LedgerTest.java
@@ -89,7 +89,7 @@
     }
 
     private void open() {
-        ledger.open(new RpcInfo(0, 0, -1, 3_000_000, Double.NaN, 1, 1, false), "m", channel);
+        ledger.open(new RpcInfo("t", 0, 0, -1, 3_000_000, Double.NaN, 1, 1, false), "m", channel);
     }
 
     @Test
@@ -120,7 +120,7 @@
     @Test
     public void anErrorInTheBalancerFailsTheRpcAtOnce() throws Exception {
         begin();
-        ledger.open(new RpcInfo(99, 0, -1, 3_000_000, Double.NaN, 1, 1, false), "m", channel);
+        ledger.open(new RpcInfo("u", 99, 0, -1, 3_000_000, Double.NaN, 1, 1, false), "m", channel);
         assertEquals(List.of("failed"), answers);
         open();
         started.get(0).served("r", null);
--- a/src/test/java/saffronferry/wire/ParsersTest.java
+++ b/src/test/java/saffronferry/wire/ParsersTest.java
@@ -10,6 +10,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.junit.Test;
+import saffronferry.Contract.Effect;
+import saffronferry.Contract.Group;
+import saffronferry.Contract.JobClass;
 import saffronferry.Contract.Outcome;
 import saffronferry.Contract.Report;
 import saffronferry.state.AttemptProbe;
@@ -18,16 +21,22 @@
 
 /** Tables of cases for what comes off the wire. */
 public class ParsersTest {
-    private static final RpcParser RPCS = new RpcParser(List.of("page", "gift"), List.of("acme"));
+    private static final RpcParser RPCS = new RpcParser(List.of(jobClass("page", Effect.SAFE),
+            jobClass("gift", Effect.KEYED)), List.of("acme"));
     private static final LoadParser LOADS = new LoadParser("x0", "x1");
 
+    private static JobClass jobClass(String name, Effect effect) {
+        return new JobClass(name, 0, 0, 6_000_000, 1, 0, effect, Group.CELL, 0, -1, false);
+    }
+
     /** Headers as {@code name:value;name:value}. */
     private static RpcInfo rpc(String path, String query, String headers) throws BadRequest {
-        Map<String, String> map = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        Map<String, List<String>> map = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         for (String h : headers.split(";")) {
-            map.put(h.substring(0, h.indexOf(':')), h.substring(h.indexOf(':') + 1));
+            map.computeIfAbsent(h.substring(0, h.indexOf(':')), n -> new ArrayList<>())
+                    .add(h.substring(h.indexOf(':') + 1));
         }
-        return RPCS.parse(path, query, map::get);
+        return RPCS.parse(path, query, name -> map.getOrDefault(name, List.of()));
     }
 
     @Test
@@ -35,9 +44,9 @@
         Object[][] cases = {
             // path, headers, class, tenant, microseconds, slots, memory, repeat
             {"/page", "X-Txn:1;X-Lane:page;X-Org:acme;X-Remaining-Ms:480", 0, 0, 480_000L, 1, 0.0, false},
-            {"/gift", "X-Txn:1;X-Lane:gift;X-Remaining-Ms:0", 1, -1, 0L, 1, 0.0, false},
-            {"/gift/7", "X-Txn:1;X-Remaining-Ms:5", 1, -1, 5000L, 1, 0.0, false},
-            {"/page", "X-Txn:1;X-Org:who;X-Remaining-Ms:5;X-Resent:1", 0, -1, 5000L, 1, 0.0, true},
+            {"/gift", "X-Txn:a.B_3-:;X-Lane:gift;X-Remaining-Ms:0;Idempotency-Key:k", 1, -1, 0L, 1, 0.0, false},
+            {"/gift/7", "X-Txn:1;X-Remaining-Ms:5;Idempotency-Key:k", 1, -1, 5000L, 1, 0.0, false},
+            {"/page", "X-Txn:1;X-Org:who;X-Remaining-Ms:12000;X-Resent:1", 0, -1, 12_000_000L, 1, 0.0, true},
             {"/page", "X-Txn:1;X-Remaining-Ms:5;X-Labels:slots=2,memory=1.5,z=q", 0, -1, 5000L, 2, 1.5, false},
         };
         for (Object[] c : cases) {
@@ -57,9 +66,24 @@
     @Test
     public void requestsThatAreMalformed() {
         String[][] cases = {
-            {"404", "/page", "X-Txn:1;X-Lane:other;X-Remaining-Ms:5"},
-            {"404", "/", "X-Txn:1;X-Remaining-Ms:5"},
+            {"400", "/page", "X-Txn:1;X-Lane:gift;X-Remaining-Ms:5"},
+            {"400", "/page", "X-Txn:1;X-Lane:page;X-Lane:page;X-Remaining-Ms:5"},
+            {"404", "/other", "X-Txn:1;X-Lane:other;X-Remaining-Ms:5"},
+            {"404", "/", "X-Txn:1;X-Lane:page;X-Remaining-Ms:5"},
             {"400", "/page", "X-Remaining-Ms:5"},
+            {"400", "/page", "X-Txn:;X-Remaining-Ms:5"},
+            {"400", "/page", "X-Txn:a b;X-Remaining-Ms:5"},
+            {"400", "/page", "X-Txn:" + "a".repeat(65) + ";X-Remaining-Ms:5"},
+            {"400", "/page", "X-Txn:1;X-Txn:2;X-Remaining-Ms:5"},
+            {"400", "/gift", "X-Txn:1;X-Remaining-Ms:5"},
+            {"400", "/gift", "X-Txn:1;X-Remaining-Ms:5;Idempotency-Key:" + "k".repeat(129)},
+            {"400", "/gift", "X-Txn:1;X-Remaining-Ms:5;Idempotency-Key:a;Idempotency-Key:b"},
+            {"400", "/page", "X-Txn:1;X-Remaining-Ms:"},
+            {"400", "/page", "X-Txn:1;X-Remaining-Ms:5;X-Remaining-Ms:5"},
+            {"400", "/page", "X-Txn:1;X-Remaining-Ms:5.5"},
+            {"400", "/page", "X-Txn:1;X-Remaining-Ms:1e3"},
+            {"400", "/page", "X-Txn:1;X-Remaining-Ms:12001"},
+            {"400", "/page", "X-Txn:1;X-Remaining-Ms:99999999999999999999"},
             {"400", "/page", "X-Txn:1"},
             {"400", "/page", "X-Txn:1;X-Remaining-Ms:soon"},
             {"400", "/page", "X-Txn:1;X-Remaining-Ms:-1"},
