--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -55,6 +55,7 @@
         int lender = -1;         // dispatcher that offered a slot there last
         boolean ours;            // this dispatcher fills it first
         double lately;           // slots taken, averaged over about the age of a report
+        double unrest;           // and how much they varied: their variance over that time
         int takenThen;
         long takenAt;
         int openAt = -1;
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -31,9 +31,13 @@
     private static final int FULL_DOUBLINGS = 5;
     private static final double COLD_PART = 0.5; // of the multiple that the rule allows: jobs vary in size
     private static final double UNKNOWN_SLOTS = 2; // a worker of which nothing is known at all
-    private static final double FIRST_MEAN = 500_000; // running time before the first answer
+    private static final double FIRST_MEAN = 500_000; // running time before any answer, or the aim
+    private static final double MEAN_RATE = 0.02; // weight of a new running time, once there are many
     private static final double LATE_ROOM = 0.3; // rounds of our slots of late jobs kept; more get refused
-    private static final double REPORT_AGE = 1_000_000; // about how old a report is: seconds are usual
+    private static final double REPORT_AGE = 500_000; // about how old a report may be
+    private static final double RESTLESS = 8; // how little a report counts while jobs come and go there
+    private static final double SLOT_SAMPLES = 10; // reports that the learned slots rest on
+    private static final long PROBE_AGAIN = 150_000; // a worker that had nothing to report yet
     private static final long SETTLE = 2_000_000; // a zone not heard from by then has no dispatcher
     private static final long SUBSCRIBE_WAIT = 300_000; // before asking for the list again; doubles
     private static final long TICK_TOKEN = 1;
@@ -53,8 +57,10 @@
     private final Peer[] peers;
     private final boolean[] served; // zones that have a dispatcher
     private final double[] kindSlots; // learned slots of a worker, by kind
+    private final double[] kindWeight; // and the weight of the reports they rest on
     private final double[] mean; // running time by class, lately
     private final double[] base; // and at its best
+    private final int[] ended; // how many of the class we know from
     private final double[] bucket; // tokens by tenant
     private final Keys keys = new Keys();
     private double meanWorth = 1;
@@ -79,10 +85,10 @@
         peers = new Peer[settings.peers()];
         for (int i = 0; i < peers.length; i++) { peers[i] = new Peer(i); }
         kindSlots = new double[settings.kinds() + 1];
-        mean = new double[queues.length];
-        base = new double[queues.length];
-        Arrays.fill(mean, FIRST_MEAN);
-        Arrays.fill(base, FIRST_MEAN);
+        kindWeight = new double[kindSlots.length];
+        mean = settings.classes().stream().mapToDouble(c -> Math.max(FIRST_MEAN, c.aim())).toArray();
+        base = mean.clone();
+        ended = new int[mean.length];
         bucket = new double[settings.tenants().size()];
         Arrays.fill(bucket, 1);
         trafficShare = 1.0 / settings.peers();
@@ -350,7 +356,10 @@
     /** Keeps the set of workers that may have a free slot in step with what is known. */
     private void refresh(Worker w) {
         int taken = w.mine + w.others;
-        w.lately += (w.takenThen - w.lately) * (1 - Math.exp((w.takenAt - now) / REPORT_AGE));
+        double part = 1 - Math.exp((w.takenAt - now) / REPORT_AGE);
+        double off = w.takenThen - w.lately;
+        w.lately += off * part;
+        w.unrest = (w.unrest + off * off * part) * (1 - part);
         if (w.takenThen == 0 && taken > 0) { w.busySince = now; }
         w.takenThen = taken;
         w.takenAt = now;
@@ -363,16 +372,20 @@
         refresh(w);
         int k = kindIndex(w.kind);
         if (!Double.isNaN(report.held()) && !Double.isNaN(report.queued())) {
-            learnSlots(k, x0 + report.held() - report.queued());
+            learnSlots(k, x0 + report.held() - report.queued(), 1);
         } else if (w.ours) { // the one that fills a worker knows of all jobs there
             // the report is old: what it leaves out is what all of us had there lately, not what we have now
-            learnSlots(k, x0 - (report.queued() > 0 ? report.queued() : 0) + w.lately);
+            double total = x0 - (report.queued() > 0 ? report.queued() : 0) + w.lately;
+            learnSlots(k, total, 1 / (1 + RESTLESS * w.unrest));
         }
         refresh(w);
     }
 
-    private void learnSlots(int k, double total) {
-        kindSlots[k] = kindSlots[k] == 0 ? total : kindSlots[k] + (total - kindSlots[k]) * 0.04;
+    // Danger: slots learned too low stay idle on every worker of the kind. The first reports count fully, and
+    // those from workers where jobs came and went while the report was under way count little.
+    private void learnSlots(int k, double total, double weight) {
+        kindWeight[k] = Math.min(kindWeight[k] + weight, SLOT_SAMPLES);
+        kindSlots[k] += (total - kindSlots[k]) * weight / kindWeight[k];
     }
 
     private void probeSome() {
@@ -392,6 +405,9 @@
         Worker w = fleet.byAddress.get(address);
         if (w != null && outcome == Outcome.CONNECT_FAILED) { broken(w, false); }
         if (w != null && report != null) { learn(w, report); }
+        if (w != null && report == null && kindWeight[kindIndex(w.kind)] == 0) {
+            w.probedAt = now - MAX_PERIOD + PROBE_AGAIN;
+        }
         drain();
     }
 
@@ -662,8 +678,10 @@
                 w.fulls = a.sentAt > w.fullAt ? 0 : w.fulls;
                 int c = a.job.request.jobClass();
                 long ran = a.startedAt > 0 ? Math.max(1, now - a.startedAt) : Math.max(1, took);
-                mean[c] += (ran - mean[c]) * 0.02;
-                base[c] += (mean[c] - base[c]) * (mean[c] < base[c] ? 0.02 : 0.0005);
+                // danger: a first guess that lingers makes suspects of workers that run long jobs
+                double rate = Math.max(MEAN_RATE, 1.0 / (++ended[c] + 1));
+                mean[c] += (ran - mean[c]) * rate;
+                base[c] += (mean[c] - base[c]) * (rate > MEAN_RATE ? 1 : mean[c] < base[c] ? rate : 0.0005);
                 w.speed += (Math.min(4, ran / mean[c]) - w.speed) * 0.05;
                 sign(w);
             }
--- a/src/test/java/saffronferry/DispatcherTest.java
+++ b/src/test/java/saffronferry/DispatcherTest.java
@@ -65,6 +65,43 @@
         assertTrue(rig.sends.size() >= 6);
     }
 
+    /** Guards against slots left idle: a first report that missed jobs on their way must not weigh long. */
+    @Test
+    void aReportFromAWorkerAtRestCorrectsOneFromABusyMoment() {
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
+        rig.ask(1, -1);
+        rig.run(100 * Rig.MS);
+        rig.report("a", 4); // five slots, of which one is taken; the old average would make it 4.1
+        rig.answer(1, 0, Outcome.OK);
+        for (int i = 0; i < 3; i++) {
+            rig.run(2 * Rig.S);
+            rig.report("a", 5);
+        }
+        for (long id = 2; id <= 7; id++) {
+            rig.ask(id, -1);
+        }
+        assertEquals(1 + 5, rig.sends.size());
+    }
+
+    /** Guards against healthy workers left out because a class runs longer than was guessed at first. */
+    @Test
+    void workersThatRunLongJobsAreNoSuspectsOnceSomeHaveEnded() {
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
+        rig.report("a", 4);
+        for (long id = 1; id <= 6; id++) {
+            rig.ask(id, 0, -1, -1, 60 * Rig.S, false);
+            rig.run(4 * Rig.S);
+            rig.answer(id, 0, Outcome.OK);
+        }
+        long before = rig.sends.size();
+        for (long id = 7; id <= 9; id++) {
+            rig.ask(id, 0, -1, -1, 60 * Rig.S, false);
+        }
+        rig.run(5 * Rig.S);
+        rig.ask(10, 0, -1, -1, 60 * Rig.S, false);
+        assertEquals(before + 4, rig.sends.size()); // a suspect would get no more
+    }
+
     @Test
     void aDrainingWorkerGetsNothingMore() {
         Rig rig = new Rig(plan.settings()).list(Rig.worker("a"), Rig.worker("b"));
