Serve kept connections after SIGTERM for as long as there is time before SIGKILL

A probe of the requests and of /up showed: SIGTERM, then no new connection after 0.4 s; we closed the kept ones at 0.5 s, though clients would go on using them; the process came back 5.2 s after SIGTERM.

Checked and ruled out: ending earlier (halted after 1 s, it came back at the same 5.2 s, and lost requests), the start itself (0.8 s), SIGKILL (it came with long gifts open, as it may).

At fault: Node.drain closed idle connections and refused new requests half a second after SIGTERM, and ChannelServer ended each connection after its answer from SIGTERM on. Now kept connections are served until 100 ms before the longest deadline (counted as 3 s) has passed; the ledger bounds what is opened after half a second so that it has its answer 300 ms later, which is before SIGKILL may come.

Also: an unforeseen error while a request is read is answered 500.

--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -13,8 +13,12 @@
 
 /** One real dispatcher, from start to the end of its drain. Everything runs on one event loop. */
 final class Node {
-    /** How long after SIGTERM new connections still come. */
+    /** How long after SIGTERM new connections come; what comes later must be answered before SIGKILL. */
     private static final long STILL_LISTEN_MS = 500;
+    /** SIGKILL comes no sooner than the longest deadline, counted as this where it is longer, and 700 ms. */
+    private static final long LONGEST_MS = 3_000;
+    private static final long AFTER_LONGEST_MS = 300;
+    private static final long LAST_INTAKE_MS = 100;
     /** An answer counts when its last byte has left; the process must not end before that. */
     private static final long FLUSH_MS = 50;
 
@@ -52,7 +56,10 @@
                 new Balancer(s.settings), log);
         return wire.begin(config.known).compose(v -> wire.server().listen(config.listen))
                 .compose(v -> wire.warmUp(config.listen))
-                .onSuccess(v -> wire.server().ready()).mapEmpty();
+                .onSuccess(v -> {
+                    wire.server().ready();
+                    log.line("serving", config.listen.toString());
+                }).mapEmpty();
     }
 
     /**
@@ -80,9 +87,19 @@
         }
     }
 
+    /**
+     * Clients keep using the connections they have, and no other dispatcher may be near: these are served for
+     * as long as what they ask can still be answered before SIGKILL. What was open before has its full time.
+     */
     private void drain() {
+        long longest = config.settings.settings.classes().stream().mapToLong(c -> c.deadline() / 1000).max()
+                .orElse(LONGEST_MS);
+        long counted = Math.max(STILL_LISTEN_MS, Math.min(longest, LONGEST_MS));
+        log.line("draining", wire.ledger().unanswered() + " RPCs are open");
         wire.server().drain();
-        vertx.setTimer(STILL_LISTEN_MS, t -> {
+        vertx.setTimer(STILL_LISTEN_MS, t ->
+                wire.ledger().endWithin(counted + AFTER_LONGEST_MS - STILL_LISTEN_MS));
+        vertx.setTimer(counted - LAST_INTAKE_MS, t -> {
             wire.server().closeIdle();
             wire.ledger().onAnswer(this::endIfDone);
             endIfDone(wire.ledger().unanswered());
--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -36,6 +36,7 @@
     private final ArrayDeque<Supplier<List<Step>>> waiting = new ArrayDeque<>();
     private boolean running;
     private long lastId;
+    private long lastDeadline = Long.MAX_VALUE;
     private int unanswered;
     private Consumer<Integer> onAnswer = left -> { };
 
@@ -59,11 +60,12 @@
     public long open(RpcInfo info, M message, Channel channel) {
         long id = ++lastId;
         long now = clock.now();
-        Rpc<M> rpc = new Rpc<>(id, info.name(), message, now + info.remaining(), channel);
+        long deadline = Math.min(now + info.remaining(), lastDeadline);
+        Rpc<M> rpc = new Rpc<>(id, info.name(), message, deadline, channel);
         open.put(id, rpc);
         names.add(rpc.name);
         unanswered++;
-        rpc.timer = ports.wake(info.remaining(), () -> expire(rpc));
+        rpc.timer = ports.wake(Math.max(0, deadline - now), () -> expire(rpc));
         Request request = new Request(id, info.rpcClass(), info.tenant(), info.key(), rpc.deadline,
                 info.hint(), info.slots(), info.memory(), info.repeat());
         run(() -> {
@@ -78,6 +80,11 @@
         return id;
     }
 
+    /** RPCs opened from now on have their answers within so many milliseconds, whatever clients allow. */
+    public void endWithin(long ms) {
+        lastDeadline = clock.now() + ms * 1000;
+    }
+
     /** The client has closed its connection. */
     public void clientGone(long id) {
         Rpc<M> rpc = open.get(id);
--- a/src/main/java/saffronferry/wire/BoundedLog.java
+++ b/src/main/java/saffronferry/wire/BoundedLog.java
@@ -20,11 +20,14 @@
             last[1]++;
             return;
         }
-        // guards the operators' terminal: a client's bytes may stand in the text
-        String clean = text.substring(0, Math.min(MOST, text.length())).replaceAll("[^ -~]", "?");
-        System.err.println("saffronferry: " + kind + ": " + clean
+        System.err.println("saffronferry: " + kind + ": " + clean(text)
                 + (last[1] > 0 ? " (and " + last[1] + " more like it)" : ""));
         last[0] = now;
         last[1] = 0;
     }
+
+    /** Guards the operators' terminal: a client's bytes may stand in the text. */
+    static String clean(String text) {
+        return text.substring(0, Math.min(MOST, text.length())).replaceAll("[^ -~]", "?");
+    }
 }
--- a/src/main/java/saffronferry/wire/ChannelServer.java
+++ b/src/main/java/saffronferry/wire/ChannelServer.java
@@ -58,12 +58,12 @@
         ready = true;
     }
 
-    /** From now on answers end their connections, and {@code GET /up} no longer says 200. */
+    /** From now on {@code GET /up} no longer says 200; requests are still served. */
     public void drain() {
         draining = true;
     }
 
-    /** Takes nothing new: closes idle connections, and the others after their answers. */
+    /** Takes nothing new from now on: closes idle connections, and the others after their answers. */
     public void closeIdle() {
         closing = true;
         admission.closeIdle();
@@ -99,6 +99,9 @@
             receive(request, parser.parse(request));
         } catch (BadRequest e) {
             reject(request, e);
+        } catch (RuntimeException e) {
+            // guards a client against waiting for an answer that an error of ours has swallowed
+            reject(request, new BadRequest(500, "internal error: " + e));
         }
     }
 
@@ -191,7 +194,7 @@
             if (retryAfter > 0) {
                 response.putHeader("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfter / 1e6));
             }
-            if (draining) {
+            if (closing) {
                 response.putHeader("Connection", "close");
             }
             response.end(body);
--- a/src/main/java/saffronferry/wire/SubchannelClient.java
+++ b/src/main/java/saffronferry/wire/SubchannelClient.java
@@ -126,7 +126,7 @@
     }
 
     /** Guards a subchannel against being blamed where it was we who had no descriptor left, or no port. */
-    private static Outcome unopened(Throwable cause) {
+    static Outcome unopened(Throwable cause) {
         boolean ours = cause instanceof BindException || cause instanceof SocketException
                 && String.valueOf(cause.getMessage()).contains("open files");
         return ours ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED;
--- a/src/test/java/saffronferry/wire/ParsersTest.java
+++ b/src/test/java/saffronferry/wire/ParsersTest.java
@@ -165,6 +165,28 @@
         assertThrows(IllegalArgumentException.class, () -> lines.feed(Buffer.buffer("far too long")));
     }
 
+    /** A worker is blamed for a connection that never came up only where it was not our own want. */
+    @Test
+    public void connectionsThatNeverCameUp() {
+        Object[][] cases = {
+            {new java.net.ConnectException("Connection refused"), Outcome.CONNECT_FAILED},
+            {new java.net.SocketException("Too many open files"), Outcome.NOT_SENT},
+            {new java.net.BindException("Address already in use"), Outcome.NOT_SENT},
+            {new java.io.IOException("closed"), Outcome.CONNECT_FAILED},
+            {new java.net.SocketException(), Outcome.CONNECT_FAILED},
+        };
+        for (Object[] c : cases) {
+            assertEquals(c[0].toString(), c[1], SubchannelClient.unopened((Throwable) c[0]));
+        }
+    }
+
+    /** What a client sent may stand in a line of the log: it is cut and made printable. */
+    @Test
+    public void linesOfTheLog() {
+        assertEquals("a?[31m?b?", BoundedLog.clean("a\u001b[31m\nb\u00ff"));
+        assertEquals(200, BoundedLog.clean("x".repeat(70_000)).length());
+    }
+
     @Test
     public void addresses() {
         assertEquals(new Address("127.0.0.1", 90), Address.parse("127.0.0.1:90"));
