Open a connection for each attempt, and blame workers only for what repeats

A probe of outcomes showed 40 RESETs before any start notice, and 64 times a worker made a suspect: within seconds every worker was suspect or cold, P at 0.4 and gifts failed, as they may have run. One worker failed each job after 45 ms and, being always free, drew them all: RPC 67 went there four times within 150 ms.

Ruled out: the workers' health (each served as soon as it was tried), the list, load.

At fault: SubchannelClient kept connections for 70% of the site's limit, whatever workers do. Each attempt now opens its own (2 to 3 round trips and about 1 ms of work; the median first attempt takes 1.4 ms). Dispatcher: observe() took one RESET for a restarted worker; now two without a sign of life between them. ERROR blamed nobody; two in a row without a served job now make a suspect that only a served job clears, and a job does not return to the worker that failed it while its group has another one.

The tests' own ports are now below those of outgoing connections, one of which had taken a port between its choice and its use.

--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -50,6 +50,8 @@
         long probedAt;
         long fullAt;
         int fulls;
+        int errors;              // in a row
+        int resets;              // since the last sign of life
         int home = -1;           // zone whose dispatchers fill it
         int owner = -1;          // dispatcher that fills it first
         int lender = -1;         // dispatcher that offered a slot there last
@@ -96,6 +98,7 @@
         long lastNote;
         boolean ended;
         boolean neverRan;
+        boolean failed;          // the worker said so
         boolean cancelled;
 
         Attempt(Job job, Worker worker, int number, long sentAt) {
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -25,6 +25,8 @@
     private static final double SUSPECT_NATS = 8; // silence this improbable (1 in 3000) makes a suspect
     private static final long START_NOTICE = 400_000; // where starts are told: silent too long
     private static final double NOTICE_NATS = 2; // how strong: the slot may not have been free
+    private static final int RESETS = 2; // broken connections without a sign of life between them
+    private static final int ERRORS = 2; // failed jobs without a served one between them
     private static final long TRIAL = 1_000_000; // first wait before a suspect gets one trial job; doubles
     private static final int DOUBLINGS = 3;
     private static final long FULL_REST = 100_000; // a worker that said full is left alone; doubles
@@ -607,7 +609,8 @@
 
     private void sign(Worker w) {
         w.lastSign = now;
-        if (w.suspect) { clear(w, 0); }
+        w.resets = 0;
+        if (w.suspect && w.errors < ERRORS) { clear(w, 0); }
     }
 
     private void clear(Worker w, int failedTrials) {
@@ -658,6 +661,7 @@
         Worker w = a.worker;
         a.ended = true;
         a.neverRan = outcome.neverRan;
+        a.failed = outcome == Outcome.ERROR;
         j.inFlight--;
         w.attempts.remove(a);
         w.mine -= j.request.slots();
@@ -675,6 +679,7 @@
         Worker w = a.worker;
         switch (outcome) {
             case OK -> {
+                w.errors = 0;
                 w.fulls = a.sentAt > w.fullAt ? 0 : w.fulls;
                 int c = a.job.request.jobClass();
                 long ran = a.startedAt > 0 ? Math.max(1, now - a.startedAt) : Math.max(1, took);
@@ -685,14 +690,21 @@
                 w.speed += (Math.min(4, ran / mean[c]) - w.speed) * 0.05;
                 sign(w);
             }
-            case ERROR -> sign(w);
+            case ERROR -> {
+                sign(w);
+                // danger: a worker that fails each job at once is always free and would draw all of them
+                if (++w.errors >= ERRORS) { suspect(w); }
+            }
             case FULL -> {
                 // danger: a worker that drains before the list says so turns everything away
                 w.restUntil = now + (FULL_REST << Math.min(w.fulls++, FULL_DOUBLINGS));
                 w.fullAt = now;
             }
             case CONNECT_FAILED -> broken(w, false);
-            case RESET -> broken(w, true);
+            // danger: one broken connection is no broken worker; that one breaks all, and gives no other sign
+            case RESET -> {
+                if (++w.resets >= RESETS) { broken(w, true); }
+            }
             default -> { }
         }
     }
@@ -751,6 +763,8 @@
         for (int i = 0; i < j.tries; i++) {
             Attempt a = j.attempts[i];
             if (a.ended && a.neverRan) { continue; }
+            // danger: the worker that failed it has a free slot at once, and would get all its attempts
+            if (a.failed && a.worker == w && anotherFor(j, w)) { return false; }
             if (j.spec.effect() == Effect.UNSAFE || a.worker == w && !a.ended) { return false; }
             if (j.spec.effect() == Effect.KEYED && (now >= a.sentAt + j.spec.keyTtl() - TICK
                     || !Book.sameGroup(j.spec.group(), a.worker, w))) {
@@ -760,6 +774,16 @@
         return true;
     }
 
+    private boolean anotherFor(Job j, Worker w) {
+        for (Worker x : fleet.ring[s.zone()]) {
+            if (x != w && x.state == WorkerState.IN_SERVICE && !x.suspect
+                    && (j.spec.effect() != Effect.KEYED || Book.sameGroup(j.spec.group(), w, x))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Our part of what a cold worker can take: present capacity over the dispatchers that may send there. */
     private boolean coldAllows(Job j, Worker w) {
         if (w.coldSince == 0) { return true; }
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -52,7 +52,7 @@
         SettingsReader s = config.settings;
         wire = new Wire(vertx, new Wire.Options(config.discovery, config.peerListen, config.peers,
                 s.settings.classes(), s.tenants, config.lists, s.fieldOf("free slots"),
-                s.fieldOf("free memory"), s.connectTimeout, s.connIdle, config.mostConnections),
+                s.fieldOf("free memory"), s.connectTimeout, config.mostConnections),
                 new Balancer(s.settings), log);
         return wire.begin(config.known).compose(v -> wire.server().listen(config.listen))
                 .compose(v -> wire.warmUp(config.listen))
--- a/src/main/java/saffronferry/lifecycle/SettingsReader.java
+++ b/src/main/java/saffronferry/lifecycle/SettingsReader.java
@@ -26,8 +26,6 @@
     private final JSONObject family;
     /** How long a connection may take to open, in seconds, as told; the module does not need it. */
     public final double connectTimeout;
-    /** After how many seconds a worker closes an idle connection. */
-    public final double connIdle;
 
     public SettingsReader(long seed, String json) {
         this(seed, parse(json));
@@ -56,7 +54,6 @@
                 throw new IllegalArgumentException("zone is not one of zones: " + top.optString("zone"));
             }
             connectTimeout = number(limits, "connectTimeout", 0.25);
-            connIdle = number(limits, "connIdle", 60);
             settings = new Settings(seed, (int) number(top, "slotNo", 0), (int) number(top, "peersTotal", 1),
                     zone, zones.size(), kinds.size(), jobClasses, realms, number(top, "overShareWorth", 1),
                     (int) number(limits, "mostTries", 1), flag(limits, "parallelTries"),
--- a/src/main/java/saffronferry/wire/SubchannelClient.java
+++ b/src/main/java/saffronferry/wire/SubchannelClient.java
@@ -22,8 +22,6 @@
     private static final long PROBE_WAIT_MS = 500;
     /** To one subchannel, well above its slots: a dozen of them stay within half of 1,024 descriptors. */
     private static final int MOST_CONNECTIONS = 40;
-    /** Of the time after which a worker closes an idle connection: a request must not cross that close. */
-    private static final double IDLE_PART = 0.7;
 
     private final Vertx vertx;
     private final HttpClient client;
@@ -31,15 +29,21 @@
     private final LoadParser loads;
     private final BoundedLog log;
 
-    SubchannelClient(Vertx vertx, double connectTimeout, double connIdle, LoadParser loads, BoundedLog log) {
+    /**
+     * Each attempt opens a connection of its own. A kept one may be dead without a word, and a job written to
+     * it ends as a reset that may have run; beside a job's running time a handshake costs next to nothing.
+     */
+    SubchannelClient(Vertx vertx, double connectTimeout, LoadParser loads, BoundedLog log) {
         this.vertx = vertx;
         this.loads = loads;
         this.log = log;
         answers = new AnswerParser(loads);
-        client = vertx.createHttpClient(new HttpClientOptions().setPipelining(false).setKeepAlive(true)
+        client = vertx.httpClientBuilder().with(new HttpClientOptions().setKeepAlive(false)
                 .setMaxPoolSize(MOST_CONNECTIONS).setTcpNoDelay(true)
-                .setConnectTimeout((int) Math.max(1, Math.round(connectTimeout * 1000)))
-                .setKeepAliveTimeout((int) Math.max(1, connIdle * IDLE_PART)));
+                .setConnectTimeout((int) Math.max(1, Math.round(connectTimeout * 1000))))
+                // guards the log: the attempt hears of a broken connection itself
+                .withConnectHandler(connection -> connection.exceptionHandler(e -> { }))
+                .build();
     }
 
     /** Starts a call attempt and tells it what comes. Running the result closes its connection. */
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -20,7 +20,7 @@
     /** Names and figures that the speakers need. */
     public record Options(Address discovery, Address peerListen, List<Address> peers, List<JobClass> classes,
                           List<String> tenants, ListParser lists, String freeSlots, String freeMemory,
-                          double connectTimeout, double connIdle, int mostConnections) { }
+                          double connectTimeout, int mostConnections) { }
 
     private static final long WARM_UP_MS = 500;
 
@@ -38,7 +38,7 @@
         this.log = log;
         peerListen = o.peerListen();
         ledger = new Ledger<>(balancer, new Clock(), this);
-        subchannels = new SubchannelClient(vertx, o.connectTimeout(), o.connIdle(),
+        subchannels = new SubchannelClient(vertx, o.connectTimeout(),
                 new LoadParser(o.freeSlots(), o.freeMemory()), log);
         discovery = new DiscoveryWatch(vertx, o.discovery(), o.lists(), u -> ledger.resolved(u, false),
                 () -> ledger.report(new News.WatchLost()), log);
--- a/src/test/java/saffronferry/DispatcherTest.java
+++ b/src/test/java/saffronferry/DispatcherTest.java
@@ -102,6 +102,44 @@
         assertEquals(before + 4, rig.sends.size()); // a suspect would get no more
     }
 
+    /** Guards against healthy workers left out, and their jobs moved, for one connection that broke. */
+    @Test
+    void oneBrokenConnectionIsNoBrokenWorkerButSeveralAre() {
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
+        rig.report("a", 4);
+        rig.ask(1, -1);
+        rig.ask(2, -1);
+        rig.answer(1, 0, Outcome.RESET);
+        assertEquals(3, rig.sends.size()); // sent again at once
+        rig.ask(3, -1);
+        assertEquals(4, rig.sends.size());
+        rig.answer(2, 0, Outcome.RESET); // and the worker gave no sign in between
+        rig.ask(4, -1);
+        assertEquals(4, rig.sends.size());
+    }
+
+    /** Guards against a worker that fails its jobs at once, is therefore always free, and draws them all. */
+    @Test
+    void aWorkerThatFailsJobsGetsNeitherTheSameNorAllOthers() {
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"), Rig.worker("b"));
+        rig.report("a", 5);
+        rig.ask(1, -1);
+        String bad = rig.workerOf(1);
+        rig.answer(1, 0, Outcome.ERROR);
+        assertNotEquals(bad, rig.workerOf(1));
+        long before = rig.sentTo(bad);
+        long id = 2;
+        while (rig.sentTo(bad) == before) {
+            rig.ask(id++, -1);
+        }
+        rig.answer(id - 1, 0, Outcome.ERROR);
+        before = rig.sentTo(bad);
+        for (int i = 0; i < 12; i++) {
+            rig.ask(id++, -1);
+        }
+        assertEquals(before, rig.sentTo(bad));
+    }
+
     @Test
     void aDrainingWorkerGetsNothingMore() {
         Rig rig = new Rig(plan.settings()).list(Rig.worker("a"), Rig.worker("b"));
--- a/src/test/java/saffronferry/lifecycle/RulesOnSocketsTest.java
+++ b/src/test/java/saffronferry/lifecycle/RulesOnSocketsTest.java
@@ -10,7 +10,10 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.After;
@@ -182,6 +185,19 @@
         }
     }
 
+    /** A worker may drop a connection that it kept; a job written to it would be lost as one that may have run. */
+    @Test
+    public void noJobIsWrittenToAConnectionThatWasUsedBefore() throws Exception {
+        Set<Object> used = Collections.synchronizedSet(new HashSet<>());
+        a.script = (request, out) -> used.add(out) && Peer.serve(request, out);
+        b.script = a.script;
+        start();
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, get(gift(3000)).statusCode());
+        }
+        assertEquals(6, a.requests.size() + b.requests.size());
+    }
+
     /** The attempt's connection is closed by us then, and the worker must not be held to have broken it. */
     @Test
     public void aClientThatGoesAwayEndsItsAttemptAndTheWorkerIsNotBlamed() throws Exception {
--- a/src/test/java/saffronferry/lifecycle/SocketsFixture.java
+++ b/src/test/java/saffronferry/lifecycle/SocketsFixture.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.json.JSONArray;
@@ -77,10 +78,19 @@
         };
     }
 
+    /** Below the ports that the system gives to outgoing connections, which would take a free one meanwhile. */
     static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
+        InetAddress here = InetAddress.getByName("127.0.0.1");
+        for (int i = 0; i < 100; i++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+            try (ServerSocket tcp = new ServerSocket(port, 1, here);
+                    DatagramSocket udp = new DatagramSocket(port, here)) {
+                return port;
+            } catch (java.net.BindException e) {
+                // taken: another one
+            }
         }
+        throw new IOException("no free port");
     }
 
     static String entry(String id, String address, int cell, String phase, long upSince) {
