Draw held jobs again whenever a neighbour offers slots, and ask neighbours at low P

At fault: Dispatcher drew (P, R) for a job when it came and once its slack was half gone only for the head of a queue, at a tick; an offer from another zone was stored and not used by held jobs, and askAround asked only the own zone. Now an offer of a neighbour has the held jobs in share drawn again, oldest first, by the same P and R, and from as many held as slots on neighbours are asked as well.

Ruled out: offers lost (they arrive, n = 2 to 4), the spill gate (the neighbour's P is one).

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -18,6 +18,7 @@
     private static final int OFFER_LOOKS = 16; // peers looked at for an offer, however many there are
     private static final long ASK_EVERY = 20_000; // asking for slots: at most this often, two peers at a time
     private static final double SPILL_P = 0.9; // a spill needs a neighbour that holds next to nothing
+    private static final double LITTLE_P = 0.5; // as many held as slots: neighbours are asked, too
     private static final int SAMPLE = 4; // free workers compared for one job, however many there are
     private static final int KEY_WALK = 24; // steps along the ring from a key's place to a free worker
     private static final int KEY_LOOKS = 32; // held jobs looked through for a key that a worker keeps
@@ -439,10 +440,7 @@
         Message offer = offers();
         int fan = (int) Math.max(1, Math.min(peers.length, bytesPerS * MIN_PERIOD * 2 / 1e6 / offer.size()));
         tellZone(fan, offer, false);
-        for (int z = 0; z < s.zones(); z++) {
-            Peer y = z == s.zone() ? null : Peer.anyOf(z, peers, random.nextInt(peers.length));
-            if (y != null) { tell(y.number, offers()); }
-        }
+        tellNeighbours();
         period = Math.max(MIN_PERIOD, Math.min(MAX_PERIOD, (long) (spent / bytesPerS * 1e6)));
         spent = 0;
     }
@@ -471,6 +469,14 @@
         nextAsk = now + ASK_EVERY;
         p = acceptance();
         tellZone(2, offers(), true);
+        if (p < LITTLE_P) { tellNeighbours(); }
+    }
+
+    private void tellNeighbours() {
+        for (int z = 0; z < s.zones(); z++) {
+            Peer y = z == s.zone() ? null : Peer.anyOf(z, peers, random.nextInt(peers.length));
+            if (y != null) { tell(y.number, offers()); }
+        }
     }
 
     /** Product of 1-P over neighbours. */
@@ -531,6 +537,16 @@
         }
         r = 1 - (1 - p) * notAccepting();
         drain();
+        if (isNeighbour(y) && m.type == Message.Type.OFFERS && m.entries > 0) { spillHeld(); }
+    }
+
+    /** Danger: a zone that lost its workers would hold and refuse while a neighbour's stand idle. */
+    private void spillHeld() {
+        p = acceptance();
+        for (HeldQueue[] of : queues) {
+            Job j = of[IN_SHARE].head;
+            while (j != null && random.nextDouble() >= p && spill(j)) { j = of[IN_SHARE].head; }
+        }
     }
 
     /** A peer that fell silent (restart, cut, death) no longer holds slots here. */
--- a/src/test/java/saffronferry/DispatcherTest.java
+++ b/src/test/java/saffronferry/DispatcherTest.java
@@ -346,6 +346,29 @@
         assertEquals(1, rig.toldTo.get(last));
     }
 
+    /** Guards a zone that lost its workers against holding and refusing while a neighbour's stand idle. */
+    @Test
+    void heldJobsAreDrawnAgainWhenANeighbourOffersAndItIsAskedToo() {
+        plan.peers = 2;
+        plan.zones = 2;
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("far", 1, WorkerState.IN_SERVICE, 0));
+        rig.module.peerMessage(rig.now, 1, new Message(Message.Type.OFFERS, 1, 1, 1, 1, 50 * Rig.MS).bytes());
+        rig.run(100 * Rig.MS);
+        rig.told.clear();
+        for (long id = 1; id <= 8; id++) {
+            rig.ask(id, -1);
+        }
+        assertEquals(0, rig.sends.size());
+        Message asked = Message.read(rig.told.get(rig.told.size() - 1));
+        assertTrue(asked.entries == 0 && asked.p < 1);
+        for (int i = 0; i < 5; i++) {
+            Message offer = new Message(Message.Type.OFFERS, 1, 1, 1, 1, 50 * Rig.MS);
+            offer.add(new Book.Worker("far", 0).hash, 4);
+            rig.module.peerMessage(rig.now, 1, offer.bytes());
+        }
+        assertTrue(rig.sends.size() >= 4, rig.sends.size() + " sent"); // P is one in nine at first
+    }
+
     @Test
     void whoHoldsJobsAsksAndWhoHasSlotsOffersAtOnce() {
         plan.peers = 2;
