Fail at once what a worker answers 400 or 404 to, and blame no worker for it

Since two errors in a row make a worker a suspect, two such requests could take healthy workers out one after the other.

At fault: AnswerParser.status gave ERROR for 400 and 404, which the protocol keeps for requests that a worker cannot use, so the module sent them on and counted them against the workers. Such an answer now ends the RPC as failed at once, and the module hears of an attempt that never ran. 429 and other statuses stay errors.

--- a/src/main/java/saffronferry/state/CallAttempt.java
+++ b/src/main/java/saffronferry/state/CallAttempt.java
@@ -17,6 +17,8 @@
     final long sentAt;
     private final Listener listener;
     private boolean over;
+    /** Whether the subchannel found fault with the RPC itself. */
+    boolean rejected;
     /** Gives the attempt up on the wire. */
     Runnable giveUp = () -> { };
 
@@ -60,6 +62,12 @@
         end(Outcome.OK, result, load);
     }
 
+    /** The subchannel cannot use the RPC: no other one could, and it is no fault of the subchannel. */
+    public void rejected() {
+        rejected = true;
+        end(Outcome.NOT_SENT, null, null);
+    }
+
     public void ended(Outcome outcome, Report load) {
         end(outcome, null, load);
     }
--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -158,6 +158,9 @@
         rpc.outstanding--;
         if (outcome == Outcome.OK) {
             answer(rpc, channel -> channel.served(result));
+        } else if (a.rejected) {
+            // guards healthy subchannels against the blame for what a bad client sent, one after the other
+            answer(rpc, Channel::failed);
         }
         boolean answered = rpc.answered();
         forgetIfDone(rpc);
--- a/src/main/java/saffronferry/wire/AnswerParser.java
+++ b/src/main/java/saffronferry/wire/AnswerParser.java
@@ -15,6 +15,10 @@
 
     /** An answer that is not 200 ends the attempt; the header values may be null. */
     void status(CallAttempt attempt, int status, String turnedAway, String pressure) {
+        if (status == 400 || status == 404) {
+            attempt.rejected();
+            return;
+        }
         // only these prove that the job never ran: a bare 503 may have come from the middle of a run
         boolean never = (status == 503 || status == 504) && "1".equals(turnedAway);
         attempt.ended(never ? Outcome.FULL : Outcome.ERROR, loads.parse(pressure));
--- a/src/test/java/saffronferry/lifecycle/Peer.java
+++ b/src/test/java/saffronferry/lifecycle/Peer.java
@@ -117,6 +117,14 @@
         return true;
     }
 
+    /** A subchannel whose jobs take so long. */
+    static Script slow(int ms) {
+        return (request, out) -> {
+            Thread.sleep(ms);
+            return serve(request, out);
+        };
+    }
+
     /** A subchannel that takes jobs and never answers. */
     static boolean keepSilent(String request, OutputStream out) {
         return true;
