Ask for the list again within a second, however often that failed

Read in the code: the wait before a new watch doubled up to 1.2 to 3.6 s and was reset only by a list, so that after a change of discovery's address that fails at first, the 4 s after which all counts as told could pass in a wait. At fault: Dispatcher.workersUnavailable. It now doubles once, to 0.3 to 0.9 s. A call that discovery is too busy for fails only after its own 3 s, which keeps the calls apart.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -42,7 +42,7 @@
     private static final double SLOT_SAMPLES = 10; // reports that the learned slots rest on
     private static final long PROBE_AGAIN = 150_000; // a worker that had nothing to report yet
     private static final long SETTLE = 2_000_000; // a zone not heard from by then has no dispatcher
-    private static final long SUBSCRIBE_WAIT = 300_000; // before asking for the list again; doubles
+    private static final long SUBSCRIBE_WAIT = 300_000; // before asking for the list again; doubles once
     private static final long TICK_TOKEN = 1;
     private static final long SUBSCRIBE_TOKEN = 2;
     private static final int IN_SHARE = 0; // ranks of held jobs, served in this order
@@ -930,7 +930,8 @@
 
     @Override public void workersUnavailable(long clock) {
         now = clock;
-        long wait = SUBSCRIBE_WAIT << Math.min(subscribeFailures++, DOUBLINGS);
+        // danger: what discovery has to tell counts as told 4 s after a change of its address
+        long wait = SUBSCRIBE_WAIT << Math.min(subscribeFailures++, 1);
         out.timer(SUBSCRIBE_TOKEN, wait / 2 + random.nextLong(wait));
     }
 
--- a/src/test/java/saffronferry/DispatcherTest.java
+++ b/src/test/java/saffronferry/DispatcherTest.java
@@ -442,6 +442,18 @@
         assertEquals(2, rig.subscriptions);
     }
 
+    /** Guards against a list that stays old for seconds because discovery failed several times before. */
+    @Test
+    void asksForTheListAgainWithinASecondHoweverOftenThatFailed() {
+        plan.onDemand = true;
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
+        for (int i = 1; i <= 8; i++) {
+            assertEquals(i, rig.subscriptions);
+            rig.module.workersUnavailable(rig.now);
+            rig.run(Rig.S);
+        }
+    }
+
     @Test
     void foreignMessagesAreIgnored() {
         plan.peers = 2;
