Accept on the event loop within a descriptor budget, so that no crowd ends accepting

Seen: 400 connections at once against 384 descriptors on one core end the dispatcher: it never answers /up again. Accept fails with EMFILE on the library's acceptor thread, the warning's formatter must open the JVM's time zone file, and the Error ends the thread; the acceptor runs ahead of the loop, so the cap came too late.

Change: one transport accepts on the loop itself, at most 8 a turn and only within a budget that knows the limit (limits.sockets or the process's own) and what each purpose may hold; otherwise the backlog waits.

--- a/src/main/java/saffronferry/lifecycle/Config.java
+++ b/src/main/java/saffronferry/lifecycle/Config.java
@@ -23,8 +23,8 @@
     /** Null where dispatchers do not speak with each other. */
     final Address peerListen;
     final List<Address> peers;
-    /** How many connections clients may hold: half of the descriptors. */
-    final int mostConnections;
+    /** How many descriptors the process may hold in all. */
+    final int sockets;
     final SettingsReader settings;
     final ListParser lists;
     final ListUpdate known;
@@ -53,7 +53,7 @@
         peerListen = json.isNull("peer_listen") ? null
                 : key("peer_listen", () -> Address.parse(json.getString("peer_listen")));
         peers = key("peers", () -> peers(json.optJSONArray("peers")));
-        mostConnections = key("limits.sockets", () -> sockets(json.optJSONObject("limits")) / 2);
+        sockets = key("limits.sockets", () -> sockets(json.optJSONObject("limits")));
         long seed = key("seed", () -> json.isNull("seed") ? System.nanoTime()
                 : Long.parseUnsignedLong(json.getString("seed"), 16));
         settings = key("settings", () -> new SettingsReader(seed, json.getJSONObject("settings")));
--- a/src/main/java/saffronferry/lifecycle/Main.java
+++ b/src/main/java/saffronferry/lifecycle/Main.java
@@ -1,5 +1,8 @@
 package saffronferry.lifecycle;
 
+import saffronferry.wire.BoundedLog;
+import saffronferry.wire.BoundedTransport;
+import saffronferry.wire.LibraryLog;
 import sun.misc.Signal;
 
 /** Command line: {@code serve} is a real dispatcher, {@code adapter} the same decisions in the simulator. */
@@ -19,15 +22,18 @@
     }
 
     private static void serve() {
-        Config config;
+        BoundedLog log = new BoundedLog();
+        LibraryLog.install(log);
+        Node node;
         try {
-            config = Config.read(System.getenv());
+            node = new Node(Config.read(System.getenv()), log, BoundedTransport::new);
         } catch (IllegalArgumentException e) {
             System.err.println("saffronferry: " + e.getMessage());
             System.exit(2);
             return;
         }
-        Node node = new Node(config);
+        // halt: the drain that an exit starts would wait for the loop that hangs
+        node.onUnable(() -> Runtime.getRuntime().halt(Watchdog.EXIT_UNABLE));
         // guards against the default of SIGHUP, which ends the process
         Signal.handle(new Signal("HUP"), s -> node.reload(() -> Config.read(System.getenv())));
         Thread drain = new Thread(node::awaitDrain, "drain");
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -5,10 +5,16 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.impl.VertxBuilder;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.Supplier;
 import saffronferry.Balancer;
+import saffronferry.limit.AcceptGate;
+import saffronferry.limit.Descriptors;
 import saffronferry.wire.BoundedLog;
+import saffronferry.wire.BoundedTransport;
 import saffronferry.wire.Wire;
 
 /** One real dispatcher, from start to the end of its drain. Everything runs on one event loop. */
@@ -22,18 +28,64 @@
     /** An answer counts when its last byte has left; the process must not end before that. */
     private static final long FLUSH_MS = 50;
 
+    /** What opens after the descriptors are counted: the selector's three, our two sockets, a file and more. */
+    private static final int STILL_TO_OPEN = 8;
+    /** How long after its time a drain that does not end is waited for. */
+    private static final long DRAIN_SLACK_MS = 2_000;
+
     private final Config config;
     private final Vertx vertx;
     private final Context context;
-    private final BoundedLog log = new BoundedLog();
+    private final BoundedLog log;
+    private final Descriptors descriptors;
+    private final AcceptGate gate;
+    private final BoundedTransport transport;
     private final CountDownLatch drained = new CountDownLatch(1);
     private Wire wire;
+    private Runnable onUnable = () -> { };
 
+    /**
+     * Makes a dispatcher that is yet to start.
+     *
+     * @throws IllegalArgumentException if it cannot do with the descriptors it may hold
+     */
     Node(Config config) {
+        this(config, new BoundedLog(), BoundedTransport::new);
+    }
+
+    /** With another transport, so that tests can make the system's calls fail. */
+    Node(Config config, BoundedLog log, BiFunction<AcceptGate, BoundedLog, BoundedTransport> transports) {
         this.config = config;
-        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1));
+        this.log = log;
+        descriptors = descriptors(config);
+        gate = new AcceptGate(descriptors);
+        transport = transports.apply(gate, log);
+        descriptors.onFree(transport::freed);
+        vertx = new VertxBuilder(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1)).findTransport(transport).init().vertx();
         context = vertx.getOrCreateContext();
+        transport.onListenerLost(() -> unable("the listening socket is closed"));
+    }
+
+    private static Descriptors descriptors(Config config) {
+        int most = ProcessLimits.most();
+        String key = most < config.sockets ? "the process's own limit, below the key limits.sockets"
+                : "configuration key limits.sockets";
+        try {
+            return new Descriptors(Math.min(most, config.sockets), ProcessLimits.open() + STILL_TO_OPEN);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(key + ": " + e.getMessage());
+        }
+    }
+
+    /** Runs something, on any thread, when this dispatcher cannot serve any more. */
+    void onUnable(Runnable listener) {
+        onUnable = listener;
+    }
+
+    private void unable(String why) {
+        log.line("cannot serve any more", why);
+        onUnable.run();
     }
 
     /** Completes once clients are served. */
@@ -49,11 +101,12 @@
 
     private Future<Void> begin() {
         vertx.exceptionHandler(e -> log.line("internal error", String.valueOf(e)));
+        new Watchdog(Watchdog.GIVE_UP_MS, () -> unable("the event loop hangs")).start(vertx);
         SettingsReader s = config.settings;
         wire = new Wire(vertx, new Wire.Options(config.discovery, config.peerListen, config.peers,
                 s.settings.classes(), s.tenants, config.lists, s.fieldOf("free slots"),
-                s.fieldOf("free memory"), s.connectTimeout, config.mostConnections),
-                new Balancer(s.settings), log);
+                s.fieldOf("free memory"), s.connectTimeout),
+                new Balancer(s.settings), descriptors, gate, log);
         return wire.begin(config.known).compose(v -> wire.server().listen(config.listen))
                 .compose(v -> wire.warmUp(config.listen))
                 .onSuccess(v -> {
@@ -81,7 +134,8 @@
     void awaitDrain() {
         context.runOnContext(v -> drain());
         try {
-            drained.await();
+            // guards against a loop that hangs: what it holds cannot be answered, and SIGKILL would come
+            drained.await(LONGEST_MS + DRAIN_SLACK_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- /dev/null
+++ b/src/main/java/saffronferry/limit/AcceptGate.java
@@ -0,0 +1,69 @@
+package saffronferry.limit;
+
+import saffronferry.limit.Descriptors.Purpose;
+
+/**
+ * Whether the next waiting connection is accepted. While it is not, the system's backlog keeps it. Accepting
+ * pauses when clients have no descriptor left, until one is free again, and after a failure of the system's
+ * call, for a time that doubles with each failure on end. Times in milliseconds. For one thread.
+ */
+public final class AcceptGate {
+    /** After the first failure, and at most. */
+    static final long FIRST_PAUSE = 10;
+    static final long LONGEST_PAUSE = 500;
+
+    private final Descriptors descriptors;
+    private long pause = FIRST_PAUSE;
+    private boolean failing;
+    private long closedUntil = Long.MIN_VALUE;
+
+    public AcceptGate(Descriptors descriptors) {
+        this.descriptors = descriptors;
+    }
+
+    /** Takes a descriptor for a connection to be accepted now; false if accepting is to pause. */
+    public boolean enter(long now) {
+        return now >= closedUntil && descriptors.take(Purpose.CLIENTS);
+    }
+
+    /** The connection entered for is here. */
+    public void accepted() {
+        failing = false;
+        pause = FIRST_PAUSE;
+    }
+
+    /** No connection waited after all. */
+    public void nothing() {
+        descriptors.release(Purpose.CLIENTS);
+    }
+
+    /** The call failed; how long to pause. */
+    public long failed(long now) {
+        long wait = pause;
+        failing = true;
+        closedUntil = now + wait;
+        pause = Math.min(LONGEST_PAUSE, 2 * pause);
+        descriptors.release(Purpose.CLIENTS);
+        return wait;
+    }
+
+    /** A connection accepted earlier has ended and its descriptor is free. */
+    public void left() {
+        descriptors.release(Purpose.CLIENTS);
+    }
+
+    /** Whether a paused accepting may go on. */
+    public boolean mayResume(long now) {
+        return now >= closedUntil && descriptors.left(Purpose.CLIENTS) > 0;
+    }
+
+    /** Whether the last call failed. */
+    public boolean failing() {
+        return failing;
+    }
+
+    /** Whether clients that say nothing should make room for newcomers. */
+    public boolean tight() {
+        return descriptors.left(Purpose.CLIENTS) < Descriptors.TIGHT;
+    }
+}
--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -190,11 +190,14 @@
         running = false;
     }
 
-    /** Guards against one RPC's exception ending the process or what is to be done for the others. */
+    /**
+     * Guards against one RPC's exception ending the process or what is to be done for the others. Errors too:
+     * one that left {@link #run} would leave the ledger waiting for itself for good.
+     */
     private void guarded(Runnable what) {
         try {
             what.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             StackTraceElement[] trace = e.getStackTrace();
             ports.log("internal error: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
         }
--- a/src/main/java/saffronferry/wire/Admission.java
+++ b/src/main/java/saffronferry/wire/Admission.java
@@ -3,15 +3,15 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import saffronferry.limit.AcceptGate;
 
 /**
  * Which connections of clients may stay. A request has so long to arrive whole, counted for the first one
  * from the connection's start, so that silence and half a request cost a descriptor no longer than that.
- * Beyond the descriptors kept for clients, connections that never sent a request make room first, then
+ * Where clients have few descriptors left, connections that never sent a request make room first, then
  * those idle longest; one at work on a request never does. A connection idle between requests has no time
  * limit.
  */
@@ -20,7 +20,7 @@
     static final long REQUEST_MS = 2_000;
 
     private final Vertx vertx;
-    private final int most;
+    private final AcceptGate gate;
     private final Map<HttpConnection, Visit> visits = new HashMap<>();
     private final Set<Visit> silent = new LinkedHashSet<>();
     private final Set<Visit> idle = new LinkedHashSet<>();
@@ -39,9 +39,9 @@
         }
     }
 
-    Admission(Vertx vertx, int most) {
+    Admission(Vertx vertx, AcceptGate gate) {
         this.vertx = vertx;
-        this.most = most;
+        this.gate = gate;
     }
 
     void connected(HttpConnection connection) {
@@ -50,17 +50,20 @@
         silent.add(visit);
         await(visit);
         connection.closeHandler(v -> forget(visit));
-        if (visits.size() > most) {
-            makeRoom(visit);
-        }
+        makeRoomIfTight();
     }
 
-    /** Guards the descriptor limit, and usual clients against crowds that connect and say nothing. */
-    private void makeRoom(Visit newcomer) {
-        Iterator<Visit> candidates = (silent.size() > 1 || idle.isEmpty() ? silent : idle).iterator();
-        Visit loser = candidates.hasNext() ? candidates.next() : newcomer;
-        forget(loser); // at once: the next newcomer must not find the same one again
-        loser.connection.close();
+    /**
+     * Guards usual clients against crowds that connect and say nothing. Where all are at work nobody has to
+     * go: then the gate lets no further ones in.
+     */
+    private void makeRoomIfTight() {
+        Set<Visit> candidates = silent.size() > 1 || idle.isEmpty() ? silent : idle;
+        if (gate.tight() && !candidates.isEmpty()) {
+            Visit loser = candidates.iterator().next();
+            forget(loser); // at once: the next newcomer must not find the same one again
+            loser.connection.close();
+        }
     }
 
     private void forget(Visit visit) {
@@ -112,6 +115,7 @@
         Visit visit = visits.get(connection);
         if (visit != null && !visit.doomed) {
             idle.add(visit);
+            makeRoomIfTight(); // newcomers wait outside, and no other moment might come to let them in
         }
     }
 
--- a/src/main/java/saffronferry/wire/BoundedLog.java
+++ b/src/main/java/saffronferry/wire/BoundedLog.java
@@ -5,7 +5,7 @@
 
 /**
  * Lines for the operators on standard error, at most one a second of each kind: neither broken input nor a
- * busy day may fill the log or take the core.
+ * busy day may fill the log or take the core. A line needs no descriptor and no time of day. For any thread.
  */
 public final class BoundedLog {
     private static final long GAP = 1_000_000_000;
@@ -13,7 +13,7 @@
     private final Map<String, long[]> kinds = new HashMap<>(); // when last written, and how many kept back
 
     /** The kind is one of few fixed words; the text may hold anything. */
-    public void line(String kind, String text) {
+    public synchronized void line(String kind, String text) {
         long now = System.nanoTime();
         long[] last = kinds.computeIfAbsent(kind, k -> new long[] {now - GAP, 0});
         if (now - last[0] < GAP) {
--- /dev/null
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -0,0 +1,157 @@
+package saffronferry.wire;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.SingleThreadEventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.internal.SocketUtils;
+import io.vertx.core.impl.transports.JDKTransport;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import saffronferry.limit.AcceptGate;
+
+/**
+ * The library's transport with two changes. Connections are accepted on the event loop itself: the library's
+ * own acceptor is a thread beside it, which runs ahead of a busy loop and takes all descriptors. And each is
+ * accepted only if the gate lets it in; else it waits in the system's backlog. Nothing that goes wrong while
+ * accepting closes the listening socket or ends the thread.
+ */
+public class BoundedTransport extends JDKTransport {
+    /** In one turn of the loop: requests under way must not wait behind a crowd of newcomers. */
+    private static final int MOST_A_TURN = 8;
+
+    private final AcceptGate gate;
+    private final BoundedLog log;
+    private EventLoopGroup loops;
+    private Acceptor acceptor;
+    private Runnable onListenerLost = () -> { };
+
+    public BoundedTransport(AcceptGate gate, BoundedLog log) {
+        this.gate = gate;
+        this.log = log;
+    }
+
+    /** Calls back when the listening socket is closed by anything but {@code Vertx.close}. */
+    public void onListenerLost(Runnable listener) {
+        onListenerLost = listener;
+    }
+
+    /** To be called when a descriptor is free again, on the event loop. */
+    public void freed() {
+        if (acceptor != null) {
+            acceptor.resume();
+        }
+    }
+
+    @Override
+    public EventLoopGroup eventLoopGroup(int type, int threads, ThreadFactory factory, int ioRatio) {
+        if (loops == null) {
+            loops = super.eventLoopGroup(type, threads, factory, ioRatio);
+        }
+        return loops;
+    }
+
+    @Override
+    public ChannelFactory<? extends ServerChannel> serverChannelFactory(boolean domainSocket) {
+        return () -> acceptor = new Acceptor();
+    }
+
+    /** The system's call, apart so that tests can make it fail. */
+    protected SocketChannel accept(java.nio.channels.ServerSocketChannel from) throws IOException {
+        return SocketUtils.accept(from);
+    }
+
+    /** The listening socket. */
+    private final class Acceptor extends NioServerSocketChannel {
+        private boolean paused;
+
+        @SuppressWarnings("deprecation")
+        Acceptor() {
+            config().setMaxMessagesPerRead(MOST_A_TURN);
+        }
+
+        @Override
+        protected int doReadMessages(List<Object> accepted) {
+            if (!gate.enter(now())) {
+                pause();
+                return 0;
+            }
+            try {
+                SocketChannel socket = BoundedTransport.this.accept(javaChannel());
+                if (socket == null) {
+                    gate.nothing();
+                    return 0;
+                }
+                accepted.add(new Accepted(this, socket));
+                gate.accepted();
+                return 1;
+            } catch (IOException | RuntimeException | Error e) {
+                // guards the listening socket, which the library closes on an Error, and its log, which fills
+                long wait = gate.failed(now());
+                log.line("accept failed", e.getMessage());
+                pause();
+                eventLoop().schedule(this::resume, wait, TimeUnit.MILLISECONDS);
+                return 0;
+            }
+        }
+
+        private void pause() {
+            paused = true;
+            config().setAutoRead(false);
+        }
+
+        private void resume() {
+            if (paused && isOpen() && gate.mayResume(now())) {
+                paused = false;
+                config().setAutoRead(true);
+            }
+        }
+
+        private long now() {
+            return System.nanoTime() / 1_000_000;
+        }
+
+        @Override
+        protected void doClose() throws Exception {
+            super.doClose();
+            if (!eventLoop().isShuttingDown()) {
+                onListenerLost.run();
+            }
+        }
+    }
+
+    /** A client's connection. */
+    private final class Accepted extends NioSocketChannel {
+        private boolean gone;
+
+        Accepted(Channel parent, SocketChannel socket) {
+            super(parent, socket);
+        }
+
+        @Override
+        protected void doClose() throws Exception {
+            super.doClose();
+            if (!gone) {
+                gone = true;
+                afterNextSelect(eventLoop(), gate::left);
+            }
+        }
+    }
+
+    /**
+     * Runs something once the descriptors closed so far are free: the system gets them back only when the
+     * selector, at its next turn, lets go of their keys.
+     */
+    static void afterNextSelect(EventLoop loop, Runnable what) {
+        if (!loop.isShuttingDown()) {
+            ((SingleThreadEventLoop) loop).executeAfterEventLoopIteration(() -> loop.execute(what));
+        }
+    }
+}
--- a/src/main/java/saffronferry/wire/ChannelServer.java
+++ b/src/main/java/saffronferry/wire/ChannelServer.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.Locale;
+import saffronferry.limit.AcceptGate;
 import saffronferry.state.Channel;
 import saffronferry.state.Ledger;
 import saffronferry.state.RpcInfo;
@@ -30,12 +31,12 @@
     private boolean draining;
     private boolean closing;
 
-    ChannelServer(Vertx vertx, RpcParser parser, Ledger<HttpMessage> ledger, int mostConnections,
+    ChannelServer(Vertx vertx, RpcParser parser, Ledger<HttpMessage> ledger, AcceptGate gate,
             BoundedLog log) {
         this.parser = parser;
         this.ledger = ledger;
         this.log = log;
-        admission = new Admission(vertx, mostConnections);
+        admission = new Admission(vertx, gate);
         // guards against silent connections that nobody counts: where HTTP/2 may be spoken too, a
         // connection is announced only once its first bytes are here
         HttpServerOptions options = new HttpServerOptions().setTcpNoDelay(true).setReuseAddress(true)
--- /dev/null
+++ b/src/main/java/saffronferry/wire/Dialer.java
@@ -0,0 +1,83 @@
+package saffronferry.wire;
+
+import io.netty.channel.EventLoop;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.http.impl.HttpClientConnection;
+import io.vertx.core.impl.VertxInternal;
+import java.net.BindException;
+import java.net.SocketException;
+import java.util.function.Consumer;
+import saffronferry.Contract.Outcome;
+import saffronferry.limit.Descriptors;
+import saffronferry.limit.Descriptors.Purpose;
+
+/** Opens a connection for each request that goes out, within what its purpose may hold. */
+final class Dialer {
+    /** What a request meets where its purpose has no descriptor left. */
+    private static final SocketException NONE_LEFT = new NoneLeft();
+
+    private final EventLoop loop;
+    private final HttpClient client;
+    private final Descriptors descriptors;
+    private final Purpose purpose;
+
+    /** Made once and without a trace: it is thrown when there is little to make anything with. */
+    private static final class NoneLeft extends SocketException {
+        NoneLeft() {
+            super("Too many open files: none left for this purpose");
+        }
+
+        @Override
+        public synchronized Throwable fillInStackTrace() {
+            return this;
+        }
+    }
+
+    Dialer(Vertx vertx, HttpClient client, Descriptors descriptors, Purpose purpose) {
+        loop = ((VertxInternal) vertx).getOrCreateContext().nettyEventLoop();
+        this.client = client;
+        this.descriptors = descriptors;
+        this.purpose = purpose;
+    }
+
+    /** Tells of the request once it may be written, or why there is none. */
+    void dial(HttpMethod method, Address at, String uri, Consumer<HttpClientRequest> opened,
+            Consumer<Throwable> failed) {
+        if (!descriptors.take(purpose)) {
+            failed.accept(NONE_LEFT);
+            return;
+        }
+        RequestOptions to = new RequestOptions().setMethod(method).setHost(at.host()).setPort(at.port());
+        client.request(to.setURI(uri)).onSuccess(request -> {
+            releaseAtEndOf(request.connection());
+            opened.accept(request);
+        }).onFailure(e -> {
+            release();
+            failed.accept(e);
+        });
+    }
+
+    private void releaseAtEndOf(HttpConnection connection) {
+        ((HttpClientConnection) connection).channel().closeFuture().addListener(f -> release());
+    }
+
+    private void release() {
+        BoundedTransport.afterNextSelect(loop, () -> descriptors.release(purpose));
+    }
+
+    /** Guards a subchannel against being blamed where it was we who had no descriptor left, or no port. */
+    static Outcome unopened(Throwable cause) {
+        for (Throwable t = cause; t != null; t = t.getCause()) {
+            // the library wraps the failure to make a socket
+            if (t instanceof BindException || String.valueOf(t.getMessage()).contains("open files")) {
+                return Outcome.NOT_SENT;
+            }
+        }
+        return Outcome.CONNECT_FAILED;
+    }
+}
--- a/src/main/java/saffronferry/wire/DiscoveryWatch.java
+++ b/src/main/java/saffronferry/wire/DiscoveryWatch.java
@@ -1,13 +1,13 @@
 package saffronferry.wire;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
 import java.util.function.Consumer;
+import saffronferry.limit.Descriptors;
+import saffronferry.limit.Descriptors.Purpose;
 import saffronferry.state.ListUpdate;
 
 /** Keeps one watch on discovery's list. Any end, silence too, is told once; others ask again. */
@@ -18,7 +18,7 @@
     private static final int CONNECT_MS = 1_000;
 
     private final Vertx vertx;
-    private final HttpClient client;
+    private final Dialer dialer;
     private Address discovery;
     private final ListParser parser;
     private final Consumer<ListUpdate> told;
@@ -29,15 +29,15 @@
     private boolean strange;
 
     DiscoveryWatch(Vertx vertx, Address discovery, ListParser parser, Consumer<ListUpdate> told,
-            Runnable lost, BoundedLog log) {
+            Runnable lost, Descriptors descriptors, BoundedLog log) {
         this.vertx = vertx;
         this.discovery = discovery;
         this.parser = parser;
         this.told = told;
         this.lost = lost;
         this.log = log;
-        client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false).setMaxPoolSize(4)
-                .setConnectTimeout(CONNECT_MS));
+        dialer = new Dialer(vertx, vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false)
+                .setMaxPoolSize(4).setConnectTimeout(CONNECT_MS)), descriptors, Purpose.DISCOVERY);
     }
 
     /** Watches from a revision on. One that is under way goes on: asking twice would queue behind it. */
@@ -46,10 +46,8 @@
             return;
         }
         current = new Watch();
-        client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(discovery.host())
-                .setPort(discovery.port())
-                .setURI("/discovery/hosts?watch=1&from=" + (strange ? 0 : revision)))
-                .onSuccess(current::connected).onFailure(current::end);
+        dialer.dial(HttpMethod.GET, discovery, "/discovery/hosts?watch=1&from=" + (strange ? 0 : revision),
+                current::connected, current::end);
     }
 
     /**
--- a/src/main/java/saffronferry/wire/SubchannelClient.java
+++ b/src/main/java/saffronferry/wire/SubchannelClient.java
@@ -7,12 +7,11 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.RequestOptions;
-import java.net.BindException;
-import java.net.SocketException;
 import java.util.function.BiConsumer;
 import saffronferry.Contract.Outcome;
 import saffronferry.Contract.Report;
+import saffronferry.limit.Descriptors;
+import saffronferry.limit.Descriptors.Purpose;
 import saffronferry.state.CallAttempt;
 
 /** Speaks with subchannels: call attempts and probes. A connection carries one request at a time. */
@@ -20,11 +19,12 @@
     private static final int MOST_LINE = 256 * 1024;
     private static final int MOST_PROBE = 16 * 1024;
     private static final long PROBE_WAIT_MS = 500;
-    /** To one subchannel, well above its slots: a dozen of them stay within half of 1,024 descriptors. */
+    /** To one subchannel, well above its slots: one that hangs must not take the descriptors of all. */
     private static final int MOST_CONNECTIONS = 40;
 
     private final Vertx vertx;
-    private final HttpClient client;
+    private final Dialer attempts;
+    private final Dialer probes;
     private final AnswerParser answers;
     private final LoadParser loads;
     private final BoundedLog log;
@@ -33,25 +33,27 @@
      * Each attempt opens a connection of its own. A kept one may be dead without a word, and a job written to
      * it ends as a reset that may have run; beside a job's running time a handshake costs next to nothing.
      */
-    SubchannelClient(Vertx vertx, double connectTimeout, LoadParser loads, BoundedLog log) {
+    SubchannelClient(Vertx vertx, double connectTimeout, LoadParser loads, Descriptors descriptors,
+            BoundedLog log) {
         this.vertx = vertx;
         this.loads = loads;
         this.log = log;
         answers = new AnswerParser(loads);
-        client = vertx.httpClientBuilder().with(new HttpClientOptions().setKeepAlive(false)
+        HttpClient client = vertx.httpClientBuilder().with(new HttpClientOptions().setKeepAlive(false)
                 .setMaxPoolSize(MOST_CONNECTIONS).setTcpNoDelay(true)
                 .setConnectTimeout((int) Math.max(1, Math.round(connectTimeout * 1000))))
                 // guards the log: the attempt hears of a broken connection itself
                 .withConnectHandler(connection -> connection.exceptionHandler(e -> { }))
                 .build();
+        attempts = new Dialer(vertx, client, descriptors, Purpose.WORKERS);
+        probes = new Dialer(vertx, client, descriptors, Purpose.PROBES);
     }
 
     /** Starts a call attempt and tells it what comes. Running the result closes its connection. */
     Runnable start(HttpMessage message, String address, long remaining, CallAttempt attempt) {
         Exchange exchange = new Exchange(message, remaining, attempt);
-        Address at = Address.parse(address);
-        client.request(new RequestOptions().setMethod(message.method()).setHost(at.host()).setPort(at.port())
-                .setURI(message.uri())).onSuccess(exchange::connected).onFailure(exchange::broken);
+        attempts.dial(message.method(), Address.parse(address), message.uri(), exchange::connected,
+                exchange::broken);
         return exchange::giveUp;
     }
 
@@ -97,7 +99,7 @@
         void broken(Throwable cause) {
             // guards a healthy subchannel against being blamed for a connection that we closed ourselves
             if (!givenUp) {
-                attempt.ended(written ? Outcome.RESET : unopened(cause), null);
+                attempt.ended(written ? Outcome.RESET : Dialer.unopened(cause), null);
             }
         }
 
@@ -129,20 +131,11 @@
         }
     }
 
-    /** Guards a subchannel against being blamed where it was we who had no descriptor left, or no port. */
-    static Outcome unopened(Throwable cause) {
-        boolean ours = cause instanceof BindException || cause instanceof SocketException
-                && String.valueOf(cause.getMessage()).contains("open files");
-        return ours ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED;
-    }
-
     /** Asks for the load; tells how that ended, and the load or null. */
     void probe(String address, BiConsumer<Outcome, Report> told) {
         Probe probe = new Probe(told);
-        Address at = Address.parse(address);
-        client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(at.host()).setPort(at.port())
-                .setURI("/metrics/load")).onSuccess(probe::connected)
-                .onFailure(e -> probe.end(unopened(e), null));
+        probes.dial(HttpMethod.GET, Address.parse(address), "/metrics/load", probe::connected,
+                e -> probe.end(Dialer.unopened(e), null));
     }
 
     private final class Probe {
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -9,6 +9,8 @@
 import saffronferry.Balancer;
 import saffronferry.Contract.JobClass;
 import saffronferry.News;
+import saffronferry.limit.AcceptGate;
+import saffronferry.limit.Descriptors;
 import saffronferry.state.CallAttempt;
 import saffronferry.state.Clock;
 import saffronferry.state.Ledger;
@@ -20,7 +22,7 @@
     /** Names and figures that the speakers need. */
     public record Options(Address discovery, Address peerListen, List<Address> peers, List<JobClass> classes,
                           List<String> tenants, ListParser lists, String freeSlots, String freeMemory,
-                          double connectTimeout, int mostConnections) { }
+                          double connectTimeout) { }
 
     private static final long WARM_UP_MS = 500;
 
@@ -33,19 +35,20 @@
     private final Ledger<HttpMessage> ledger;
     private final ChannelServer server;
 
-    public Wire(Vertx vertx, Options o, Balancer balancer, BoundedLog log) {
+    public Wire(Vertx vertx, Options o, Balancer balancer, Descriptors descriptors, AcceptGate gate,
+            BoundedLog log) {
         this.vertx = vertx;
         this.log = log;
         peerListen = o.peerListen();
         ledger = new Ledger<>(balancer, new Clock(), this);
         subchannels = new SubchannelClient(vertx, o.connectTimeout(),
-                new LoadParser(o.freeSlots(), o.freeMemory()), log);
+                new LoadParser(o.freeSlots(), o.freeMemory()), descriptors, log);
         discovery = new DiscoveryWatch(vertx, o.discovery(), o.lists(), u -> ledger.resolved(u, false),
-                () -> ledger.report(new News.WatchLost()), log);
+                () -> ledger.report(new News.WatchLost()), descriptors, log);
         peers = new PeerSocket(vertx, o.peers(),
                 (peer, bytes) -> ledger.report(new News.PeerSaid(peer, bytes)), log);
         server = new ChannelServer(vertx, new RpcParser(o.classes(), o.tenants()), ledger,
-                o.mostConnections(), log);
+                gate, log);
     }
 
     /** Opens the peers' socket, which the first decisions already use; then takes the known list in. */
--- a/src/test/java/saffronferry/lifecycle/BadClientsTest.java
+++ b/src/test/java/saffronferry/lifecycle/BadClientsTest.java
@@ -113,13 +113,13 @@
     /** Beyond the clients' descriptors the silent go first: a usual client keeps its idle connection. */
     @Test
     public void crowdsThatSayNothingMakeRoomFirst() throws Exception {
-        config.getJSONObject("limits").put("sockets", 64);
+        config.getJSONObject("limits").put("sockets", 384);
         start();
         Socket usual = connect();
         Peer.write(usual.getOutputStream(), GOOD + EMPTY);
         assertTrue(readLine(usual).contains("200"));
         List<Socket> crowd = new ArrayList<>();
-        for (int i = 0; i < 60; i++) {
+        for (int i = 0; i < 300; i++) {
             crowd.add(connect());
         }
         assertEquals("the longest silent is closed", -1, crowd.get(0).getInputStream().read());
--- a/src/test/java/saffronferry/lifecycle/ConfigTest.java
+++ b/src/test/java/saffronferry/lifecycle/ConfigTest.java
@@ -31,7 +31,7 @@
         for (String key : new String[] {"peer_listen", "peers", "limits", "known", "seed"}) {
             json.remove(key);
         }
-        assertEquals(512, new Config(json).mostConnections);
+        assertEquals(1024, new Config(json).sockets);
     }
 
     @Test
--- a/src/test/java/saffronferry/wire/ParsersTest.java
+++ b/src/test/java/saffronferry/wire/ParsersTest.java
@@ -173,10 +173,12 @@
             {new java.net.SocketException("Too many open files"), Outcome.NOT_SENT},
             {new java.net.BindException("Address already in use"), Outcome.NOT_SENT},
             {new java.io.IOException("closed"), Outcome.CONNECT_FAILED},
+            {new io.netty.channel.ChannelException("Failed to open a socket.",
+                    new java.net.SocketException("Too many open files in system")), Outcome.NOT_SENT},
             {new java.net.SocketException(), Outcome.CONNECT_FAILED},
         };
         for (Object[] c : cases) {
-            assertEquals(c[0].toString(), c[1], SubchannelClient.unopened((Throwable) c[0]));
+            assertEquals(c[0].toString(), c[1], Dialer.unopened((Throwable) c[0]));
         }
     }
 
