Tell the module when no attempt can be opened, and end a timer mix-up

Ruled out: a hanging loop (three stack traces show it in select), the watch's own logic (probe without discovery).

Change: no timer is -1. An attempt for which there is no descriptor or port is told to the module as want of room: nothing is sent until there is some, so that no tries are used up at once. Silent connections make room only after a turn in which they could be read, and closed ones count as leaving until the selector lets go: 100 usual clients had lost idle connections to a crowd, and of 200 at once 86 had no word.

--- a/src/main/java/saffronferry/Balancer.java
+++ b/src/main/java/saffronferry/Balancer.java
@@ -37,6 +37,8 @@
             module.peerMessage(now, s.peer(), s.bytes());
         } else if (news instanceof News.Resolved r) {
             module.workers(now, r.kind(), r.entries());
+        } else if (news instanceof News.Room r) {
+            module.room(now, r.open());
         } else {
             module.workersUnavailable(now);
         }
--- a/src/main/java/saffronferry/Contract.java
+++ b/src/main/java/saffronferry/Contract.java
@@ -91,6 +91,9 @@
         /** Asking for the list failed or the subscription broke; the old list stays in force. */
         void workersUnavailable(long now);
 
+        /** Whether attempts can be sent at all: while there is no descriptor or port for them, none is. */
+        void room(long now, boolean open);
+
         /** A request that now awaits exactly one final answer. */
         void request(long now, Request request);
 
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -71,7 +71,7 @@
     private int heldSlots, arrivals, homesMark, turn, probeTurn, checkTurn, subscribeFailures;
     private long now, lastTick, bornAt, nextExchange, nextAsk, spent, offersUntil, ticks, period = MIN_PERIOD;
     private final boolean probing;
-    private boolean begun, settled;
+    private boolean begun, settled, mayOpen = true;
 
     public Dispatcher(Settings settings, Actions actions) {
         s = settings;
@@ -218,7 +218,7 @@
     /** Held jobs leave as slots free. */
     private void drain() {
         long blocked = 0; // classes for which no slot was found just now
-        while (heldSlots > 0) {
+        while (heldSlots > 0 && mayOpen) {
             Job j = nextHeld(blocked);
             if (j == null) { return; }
             Worker w = choose(j);
@@ -328,7 +328,7 @@
     }
 
     private boolean sendTo(Job j, Worker w) {
-        if (w == null) { return false; }
+        if (w == null || !mayOpen) { return false; }
         Attempt a = new Attempt(j, w, j.tries, now);
         unhold(j);
         j.add(a);
@@ -928,6 +928,13 @@
         if (s.listOnDemand()) { out.subscribe(true); }
     }
 
+    // Danger: attempts that cannot be opened end at once and use up all tries
+    @Override public void room(long clock, boolean open) {
+        now = clock;
+        mayOpen = open;
+        drain();
+    }
+
     @Override public void workersUnavailable(long clock) {
         now = clock;
         // danger: what discovery has to tell counts as told 4 s after a change of its address
--- a/src/main/java/saffronferry/News.java
+++ b/src/main/java/saffronferry/News.java
@@ -27,6 +27,9 @@
     /** A resolver result: the whole list, changes to it, or the copy that a start is given. */
     record Resolved(ListKind kind, List<WorkerInfo> entries) implements News { }
 
+    /** Whether there are descriptors for further call attempts; at the start there are. */
+    record Room(boolean open) implements News { }
+
     /** The watch failed or ended. */
     record WatchLost() implements News { }
 }
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -42,6 +42,8 @@
     private final BoundedTransport transport;
     private final CountDownLatch drained = new CountDownLatch(1);
     private Wire wire;
+    private Watchdog watchdog;
+    private volatile boolean closing;
     private Runnable onUnable = () -> { };
 
     /**
@@ -64,6 +66,7 @@
         vertx = new VertxBuilder(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1)).findTransport(transport).init().vertx();
         context = vertx.getOrCreateContext();
+        patience(Watchdog.GIVE_UP_MS);
         transport.onListenerLost(() -> unable("the listening socket is closed"));
     }
 
@@ -78,14 +81,25 @@
         }
     }
 
+    /** How long the loop may stand still before this dispatcher is given up. */
+    void patience(long ms) {
+        watchdog = new Watchdog(ms, () -> unable("the event loop hangs"));
+    }
+
+    void onLoop(Runnable what) {
+        context.runOnContext(v -> what.run());
+    }
+
     /** Runs something, on any thread, when this dispatcher cannot serve any more. */
     void onUnable(Runnable listener) {
         onUnable = listener;
     }
 
     private void unable(String why) {
-        log.line("cannot serve any more", why);
-        onUnable.run();
+        if (!closing) {
+            log.line("cannot serve any more", why);
+            onUnable.run();
+        }
     }
 
     /** Completes once clients are served. */
@@ -96,12 +110,14 @@
     }
 
     Future<Void> close() {
+        closing = true;
+        watchdog.stop();
         return vertx.close();
     }
 
     private Future<Void> begin() {
         vertx.exceptionHandler(e -> log.line("internal error", String.valueOf(e)));
-        new Watchdog(Watchdog.GIVE_UP_MS, () -> unable("the event loop hangs")).start(vertx);
+        watchdog.start(vertx);
         SettingsReader s = config.settings;
         wire = new Wire(vertx, new Wire.Options(config.discovery, config.peerListen, config.peers,
                 s.settings.classes(), s.tenants, config.lists, s.fieldOf("free slots"),
--- a/src/main/java/saffronferry/lifecycle/Watchdog.java
+++ b/src/main/java/saffronferry/lifecycle/Watchdog.java
@@ -19,6 +19,7 @@
     private final long lookMs;
     private final LoopWatch watch;
     private volatile long turn;
+    private volatile boolean stopped;
 
     /** {@code onHang} runs on the watchdog's thread. */
     Watchdog(long giveUpMs, Runnable onHang) {
@@ -35,12 +36,18 @@
         thread.start();
     }
 
+    void stop() {
+        stopped = true;
+    }
+
     private void look() {
         try {
-            while (!watch.hangs(turn)) {
+            while (!stopped && !watch.hangs(turn)) {
                 Thread.sleep(lookMs);
             }
-            onHang.run();
+            if (!stopped) {
+                onHang.run();
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/saffronferry/limit/AcceptGate.java
+++ b/src/main/java/saffronferry/limit/AcceptGate.java
@@ -15,6 +15,7 @@
     private final Descriptors descriptors;
     private long pause = FIRST_PAUSE;
     private boolean failing;
+    private int leaving;
     private long closedUntil = Long.MIN_VALUE;
 
     public AcceptGate(Descriptors descriptors) {
@@ -47,8 +48,14 @@
         return wait;
     }
 
-    /** A connection accepted earlier has ended and its descriptor is free. */
+    /** A connection has ended, but the system is yet to give its descriptor back. */
+    public void leaving() {
+        leaving++;
+    }
+
+    /** What was {@link #leaving} has left: its descriptor is free. */
     public void left() {
+        leaving--;
         descriptors.release(Purpose.CLIENTS);
     }
 
@@ -64,6 +71,6 @@
 
     /** Whether clients that say nothing should make room for newcomers. */
     public boolean tight() {
-        return descriptors.left(Purpose.CLIENTS) < Descriptors.TIGHT;
+        return descriptors.left(Purpose.CLIENTS) + leaving < Descriptors.TIGHT;
     }
 }
--- a/src/main/java/saffronferry/limit/Descriptors.java
+++ b/src/main/java/saffronferry/limit/Descriptors.java
@@ -1,6 +1,8 @@
 package saffronferry.limit;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 
 /**
  * The one place that knows how many descriptors there are and who may take one. Each purpose has a number it is
@@ -24,7 +26,7 @@
     private final int[] used = new int[Purpose.values().length];
     private int owed; // what purposes are sure of and have not taken
     private int usedInAll;
-    private Runnable onFree = () -> { };
+    private final List<Runnable> onFree = new ArrayList<>();
 
     /**
      * Plans for a limit of which the process itself holds {@code own}, listening sockets included.
@@ -53,7 +55,7 @@
 
     /** Calls back after each release, since one purpose's may be another's gain. */
     public void onFree(Runnable listener) {
-        onFree = listener;
+        onFree.add(listener);
     }
 
     /** How many more descriptors this purpose could take now. */
@@ -85,7 +87,7 @@
         used[i]--;
         usedInAll--;
         owed += used[i] < sure[i] ? 1 : 0;
-        onFree.run();
+        onFree.forEach(Runnable::run);
     }
 
     public int used(Purpose p) {
--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -71,7 +71,7 @@
         run(() -> {
             try {
                 return balancer.pick(clock.now(), request);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 // guards against an RPC that the balancer dropped on an error: nobody else would answer it
                 answer(rpc, Channel::failed);
                 throw e;
@@ -245,7 +245,7 @@
         } else {
             try {
                 a.giveUp = ports.start(rpc.message, address, rpc.deadline - now, a);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 // guards against an attempt that never began and so would never end
                 a.ended(Outcome.CONNECT_FAILED, null);
                 throw e;
@@ -273,7 +273,7 @@
         run(() -> {
             try {
                 return balancer.tick(clock.now(), token);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 ports.wake(TICK_AGAIN, () -> tick(token));
                 throw e;
             }
--- a/src/main/java/saffronferry/wire/Admission.java
+++ b/src/main/java/saffronferry/wire/Admission.java
@@ -1,7 +1,9 @@
 package saffronferry.wire;
 
+import io.netty.channel.EventLoop;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.impl.VertxInternal;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -20,6 +22,7 @@
     static final long REQUEST_MS = 2_000;
 
     private final Vertx vertx;
+    private final EventLoop loop;
     private final AcceptGate gate;
     private final Map<HttpConnection, Visit> visits = new HashMap<>();
     private final Set<Visit> silent = new LinkedHashSet<>();
@@ -32,6 +35,8 @@
         long timer = -1;
         Runnable onTooLate;
         boolean doomed;
+        /** Whether a whole request has come. */
+        boolean spoke;
 
         Visit(HttpConnection connection) {
             this.connection = connection;
@@ -42,15 +47,27 @@
     Admission(Vertx vertx, AcceptGate gate) {
         this.vertx = vertx;
         this.gate = gate;
+        loop = ((VertxInternal) vertx).getOrCreateContext().nettyEventLoop();
     }
 
     void connected(HttpConnection connection) {
         Visit visit = new Visit(connection);
         visits.put(connection, visit);
-        silent.add(visit);
         await(visit);
         connection.closeHandler(v -> forget(visit));
         makeRoomIfTight();
+        BoundedTransport.afterNextSelect(loop, () -> maySilent(visit));
+    }
+
+    /**
+     * Whoever has been given a turn to be read from, and sent nothing, is silent: not before, or a crowd would
+     * cost usual clients the connections that they have just opened.
+     */
+    private void maySilent(Visit visit) {
+        if (!visit.spoke && visits.containsKey(visit.connection)) {
+            silent.add(visit);
+            makeRoomIfTight();
+        }
     }
 
     /**
@@ -58,7 +75,7 @@
      * go: then the gate lets no further ones in.
      */
     private void makeRoomIfTight() {
-        Set<Visit> candidates = silent.size() > 1 || idle.isEmpty() ? silent : idle;
+        Set<Visit> candidates = silent.isEmpty() ? idle : silent;
         if (gate.tight() && !candidates.isEmpty()) {
             Visit loser = candidates.iterator().next();
             forget(loser); // at once: the next newcomer must not find the same one again
@@ -105,6 +122,7 @@
     void whole(HttpConnection connection) {
         Visit visit = visits.get(connection);
         if (visit != null) {
+            visit.spoke = true;
             silent.remove(visit);
             arrived(visit);
         }
--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -140,6 +140,7 @@
             super.doClose();
             if (!gone) {
                 gone = true;
+                gate.leaving();
                 afterNextSelect(eventLoop(), gate::left);
             }
         }
--- a/src/main/java/saffronferry/wire/DiscoveryWatch.java
+++ b/src/main/java/saffronferry/wire/DiscoveryWatch.java
@@ -78,7 +78,8 @@
         private final Lines lines = new Lines(MOST_LINE, this::line);
         private HttpClientRequest request;
         private boolean over;
-        private long silence;
+        /** None yet: the library counts timers from 0, and another one may have that number. */
+        private long silence = -1;
 
         Watch() {
             heard();
--- a/src/main/java/saffronferry/wire/LibraryLog.java
+++ b/src/main/java/saffronferry/wire/LibraryLog.java
@@ -7,9 +7,9 @@
 import java.util.logging.Logger;
 
 /**
- * Takes the lines that the libraries log over to the bounded log. The JVM's own handler formats each with its
- * time of day, for which it opens a file of time zones: where descriptors have run out that fails with an Error
- * on whichever thread logs.
+ * Takes the lines that the libraries log over to the bounded log. The JVM's own handler formats each with
+ * its time of day, for which it opens a file of time zones: where descriptors have run out that fails with
+ * an Error on whichever thread logs.
  */
 public final class LibraryLog extends Handler {
     private final BoundedLog log;
--- a/src/main/java/saffronferry/wire/SubchannelClient.java
+++ b/src/main/java/saffronferry/wire/SubchannelClient.java
@@ -10,6 +10,7 @@
 import java.util.function.BiConsumer;
 import saffronferry.Contract.Outcome;
 import saffronferry.Contract.Report;
+import saffronferry.limit.AttemptRoom;
 import saffronferry.limit.Descriptors;
 import saffronferry.limit.Descriptors.Purpose;
 import saffronferry.state.CallAttempt;
@@ -25,6 +26,7 @@
     private final Vertx vertx;
     private final Dialer attempts;
     private final Dialer probes;
+    private final AttemptRoom room;
     private final AnswerParser answers;
     private final LoadParser loads;
     private final BoundedLog log;
@@ -34,9 +36,10 @@
      * it ends as a reset that may have run; beside a job's running time a handshake costs next to nothing.
      */
     SubchannelClient(Vertx vertx, double connectTimeout, LoadParser loads, Descriptors descriptors,
-            BoundedLog log) {
+            AttemptRoom room, BoundedLog log) {
         this.vertx = vertx;
         this.loads = loads;
+        this.room = room;
         this.log = log;
         answers = new AnswerParser(loads);
         HttpClient client = vertx.httpClientBuilder().with(new HttpClientOptions().setKeepAlive(false)
@@ -49,11 +52,16 @@
         probes = new Dialer(vertx, client, descriptors, Purpose.PROBES);
     }
 
+    private static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
     /** Starts a call attempt and tells it what comes. Running the result closes its connection. */
     Runnable start(HttpMessage message, String address, long remaining, CallAttempt attempt) {
         Exchange exchange = new Exchange(message, remaining, attempt);
         attempts.dial(message.method(), Address.parse(address), message.uri(), exchange::connected,
-                exchange::broken);
+                exchange::unopened);
+        room.look(now());
         return exchange::giveUp;
     }
 
@@ -95,6 +103,15 @@
             r.end(message.body()).onSuccess(v -> written = true).onFailure(this::broken);
         }
 
+        /** No connection came up: where that is our own want, the balancer is to stop for a while. */
+        void unopened(Throwable cause) {
+            if (Dialer.unopened(cause) == Outcome.NOT_SENT) {
+                room.refused(now());
+                vertx.setTimer(AttemptRoom.PAUSE, t -> room.look(now()));
+            }
+            broken(cause);
+        }
+
         /** Only before the last byte is written is it certain that the job never ran. */
         void broken(Throwable cause) {
             // guards a healthy subchannel against being blamed for a connection that we closed ourselves
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -10,6 +10,7 @@
 import saffronferry.Contract.JobClass;
 import saffronferry.News;
 import saffronferry.limit.AcceptGate;
+import saffronferry.limit.AttemptRoom;
 import saffronferry.limit.Descriptors;
 import saffronferry.state.CallAttempt;
 import saffronferry.state.Clock;
@@ -41,8 +42,10 @@
         this.log = log;
         peerListen = o.peerListen();
         ledger = new Ledger<>(balancer, new Clock(), this);
+        AttemptRoom room = new AttemptRoom(descriptors, open -> ledger.report(new News.Room(open)));
+        descriptors.onFree(() -> room.look(System.nanoTime() / 1_000_000));
         subchannels = new SubchannelClient(vertx, o.connectTimeout(),
-                new LoadParser(o.freeSlots(), o.freeMemory()), descriptors, log);
+                new LoadParser(o.freeSlots(), o.freeMemory()), descriptors, room, log);
         discovery = new DiscoveryWatch(vertx, o.discovery(), o.lists(), u -> ledger.resolved(u, false),
                 () -> ledger.report(new News.WatchLost()), descriptors, log);
         peers = new PeerSocket(vertx, o.peers(),
--- /dev/null
+++ b/src/test/java/saffronferry/lifecycle/Crowd.java
@@ -0,0 +1,113 @@
+package saffronferry.lifecycle;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+
+/** Many connections at once that say nothing, and what a process holds meanwhile. */
+final class Crowd implements AutoCloseable {
+    private final List<SocketChannel> members = new ArrayList<>();
+
+    /** Opens so many at once, waiting for none. */
+    Crowd(int port, int size) throws IOException {
+        for (int i = 0; i < size; i++) {
+            SocketChannel s = SocketChannel.open();
+            members.add(s);
+            s.configureBlocking(false);
+            s.connect(new InetSocketAddress("127.0.0.1", port));
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (SocketChannel s : members) {
+            s.close();
+        }
+    }
+
+    /** Connections that open and close at once, at so many a second. */
+    static void churn(int port, int perSecond, int seconds) throws Exception {
+        long begun = System.nanoTime();
+        for (int i = 0; i < perSecond * seconds; i++) {
+            try (SocketChannel s = SocketChannel.open()) {
+                s.configureBlocking(false);
+                s.connect(new InetSocketAddress("127.0.0.1", port));
+            }
+            long ahead = i * 1_000_000_000L / perSecond - (System.nanoTime() - begun);
+            if (ahead > 1_000_000) {
+                Thread.sleep(ahead / 1_000_000);
+            }
+        }
+    }
+
+    /** How long until {@code /up} says 200, each try with a second's patience, in ms. */
+    static long untilUp(int port) throws Exception {
+        long begun = System.nanoTime();
+        while (System.nanoTime() - begun < 20_000_000_000L) {
+            try (java.net.Socket s = new java.net.Socket()) {
+                s.connect(new InetSocketAddress("127.0.0.1", port), 1000);
+                s.setSoTimeout(1000);
+                s.getOutputStream().write("GET /up HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                byte[] head = s.getInputStream().readNBytes(12);
+                if (new String(head, StandardCharsets.US_ASCII).endsWith(" 200")) {
+                    return (System.nanoTime() - begun) / 1_000_000;
+                }
+            } catch (IOException e) {
+                Thread.sleep(20);
+            }
+        }
+        return Long.MAX_VALUE;
+    }
+
+    /** The most descriptors that a process holds, looked at often. */
+    static final class Held implements AutoCloseable {
+        private final AtomicInteger most = new AtomicInteger();
+        private final Thread thread;
+
+        Held(long pid) {
+            thread = new Thread(() -> {
+                while (!Thread.currentThread().isInterrupted()) {
+                    try (Stream<Path> all = Files.list(Path.of("/proc/" + pid + "/fd"))) {
+                        most.accumulateAndGet((int) all.count(), Math::max);
+                        Thread.sleep(5);
+                    } catch (IOException | java.io.UncheckedIOException e) {
+                        // the process is yet to start, or over
+                    } catch (InterruptedException e) {
+                        return;
+                    }
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        int most() {
+            return most.get();
+        }
+
+        @Override
+        public void close() {
+            thread.interrupt();
+        }
+    }
+
+    /** One request on a raw connection: the status, or 0 where there was none. */
+    static int status(SocketChannel s, String request) throws IOException {
+        s.write(ByteBuffer.wrap(request.getBytes(StandardCharsets.US_ASCII)));
+        ByteBuffer answer = ByteBuffer.allocate(4096);
+        while (answer.position() < 12) {
+            if (s.read(answer) < 0) {
+                return 0;
+            }
+        }
+        return Integer.parseInt(new String(answer.array(), 9, 3, StandardCharsets.US_ASCII));
+    }
+}
--- a/src/test/java/saffronferry/lifecycle/SocketsFixture.java
+++ b/src/test/java/saffronferry/lifecycle/SocketsFixture.java
@@ -104,7 +104,10 @@
     }
 
     void start() throws Exception {
-        Node node = new Node(new Config(config));
+        start(new Node(new Config(config)));
+    }
+
+    void start(Node node) throws Exception {
         keep(() -> node.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS));
         node.start().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
     }
@@ -144,7 +147,7 @@
 
     /** A raw connection to the dispatcher; reading from it fails after 5 s. */
     Socket connect() throws IOException {
-        Socket s = keep(new Socket("127.0.0.1", Integer.parseInt(config.getString("listen").split(":")[1])));
+        Socket s = keep(new Socket("127.0.0.1", port()));
         s.setSoTimeout(5000);
         return s;
     }
@@ -173,12 +176,29 @@
 
     /** The program itself, in a process of its own, once it serves. */
     Process startProcess(Path file) throws Exception {
-        ProcessBuilder builder = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp", System.getProperty("java.class.path"), "saffronferry.lifecycle.Main", "serve");
+        Process process = launch(file, 1024, "saffronferry.lifecycle.Main", "serve");
+        awaitUp();
+        return process;
+    }
+
+    /** A process of ours that may hold so many descriptors, on one core as on the platform. */
+    Process launch(Path file, int descriptors, String main, String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of("sh", "-c", "ulimit -n " + descriptors + " && exec \"$@\"", "sh"));
+        if (Files.isExecutable(Path.of("/usr/bin/taskset"))) {
+            command.addAll(List.of("taskset", "-c", "0"));
+        }
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xmx64m",
+                "-cp", System.getProperty("java.class.path"), main));
+        command.addAll(List.of(arguments));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("BALANCER_CONFIG", file.toString());
         Process process = builder.inheritIO().start();
         keep(process::destroyForcibly);
+        return process;
+    }
+
+    void awaitUp() throws InterruptedException {
         HttpRequest up = request("/up").GET().build();
         await(() -> {
             try {
@@ -187,6 +207,9 @@
                 return false;
             }
         });
-        return process;
+    }
+
+    int port() {
+        return Integer.parseInt(config.getString("listen").split(":")[1]);
     }
 }
--- /dev/null
+++ b/src/test/java/saffronferry/limit/LimitsTest.java
@@ -0,0 +1,141 @@
+package saffronferry.limit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import saffronferry.limit.Descriptors.Purpose;
+
+/** Descriptors, the gate and the loop's watch, each by itself and with the clock handed in. */
+class LimitsTest {
+    private static final int OWN = 20;
+
+    private static int takeAll(Descriptors d, Purpose p) {
+        int n = 0;
+        while (d.take(p)) {
+            n++;
+        }
+        return n;
+    }
+
+    /** Whoever comes first, nobody is denied what it is sure of, and the sum keeps off the limit. */
+    @Test
+    void eachPurposeGetsItsSurePartWhoeverComesFirst() {
+        for (int limit : new int[] {128, 256, 384, 1024}) {
+            for (Purpose greedy : Purpose.values()) {
+                Descriptors d = new Descriptors(limit, OWN);
+                int sum = OWN + takeAll(d, greedy);
+                assertTrue(sum - OWN <= d.most(greedy));
+                for (Purpose p : Purpose.values()) {
+                    sum += takeAll(d, p);
+                }
+                assertTrue(d.used(Purpose.CLIENTS) >= limit / 3, limit + " after " + greedy);
+                assertTrue(d.used(Purpose.WORKERS) >= limit / 4, limit + " after " + greedy);
+                assertTrue(d.used(Purpose.PROBES) >= 8 && d.used(Purpose.DISCOVERY) == 4);
+                assertTrue(sum <= limit - Descriptors.SPARE, sum + " of " + limit);
+            }
+        }
+    }
+
+    /** Any order of takes and releases keeps the same bounds, and what was given back can be had again. */
+    @Test
+    void takesAndReleasesInAnyOrderKeepTheBounds() {
+        Random random = new Random(7);
+        Descriptors d = new Descriptors(256, OWN);
+        Map<Purpose, Integer> held = new EnumMap<>(Purpose.class);
+        for (int i = 0; i < 200_000; i++) {
+            Purpose p = Purpose.values()[random.nextInt(4)];
+            int mine = held.getOrDefault(p, 0);
+            if (random.nextInt(5) < (i / 1000 % 2 == 0 ? 3 : 2)) {
+                int left = d.left(p);
+                boolean got = d.take(p);
+                assertEquals(left > 0, got);
+                held.merge(p, got ? 1 : 0, Integer::sum);
+            } else if (mine > 0) {
+                d.release(p);
+                held.put(p, mine - 1);
+            }
+            int sum = held.values().stream().mapToInt(Integer::intValue).sum();
+            assertTrue(sum <= 256 - OWN - Descriptors.SPARE);
+            assertTrue(held.getOrDefault(Purpose.WORKERS, 0) >= 64 || d.left(Purpose.WORKERS) > 0);
+            assertTrue(held.getOrDefault(Purpose.CLIENTS, 0) >= 85 || d.left(Purpose.CLIENTS) > 0);
+        }
+        held.forEach((p, n) -> {
+            for (int i = 0; i < n; i++) {
+                d.release(p);
+            }
+            assertThrows(IllegalStateException.class, () -> d.release(p));
+        });
+        assertEquals(128, takeAll(d, Purpose.CLIENTS));
+    }
+
+    @Test
+    void tooFewAreNamed() {
+        Exception e = assertThrows(IllegalArgumentException.class, () -> new Descriptors(64, OWN));
+        assertTrue(e.getMessage().contains("64") && e.getMessage().contains("20"), e.getMessage());
+    }
+
+    /** A failing accept is tried less and less often, and the first success ends that. */
+    @Test
+    void theGateBacksOffWhileAcceptingFails() {
+        AcceptGate gate = new AcceptGate(new Descriptors(256, OWN));
+        long now = 0;
+        long[] pauses = {10, 20, 40, 80, 160, 320, 500, 500};
+        for (long pause : pauses) {
+            assertTrue(gate.enter(now));
+            assertEquals(pause, gate.failed(now));
+            assertFalse(gate.enter(now + pause - 1));
+            assertFalse(gate.mayResume(now + pause - 1));
+            now += pause;
+            assertTrue(gate.mayResume(now));
+        }
+        assertTrue(gate.failing());
+        assertTrue(gate.enter(now));
+        gate.accepted();
+        assertFalse(gate.failing());
+        assertTrue(gate.enter(now));
+        assertEquals(10, gate.failed(now));
+    }
+
+    /** With nothing left the gate is shut, and open again as soon as one has left, whichever purpose's. */
+    @Test
+    void theGateShutsWithTheBudgetAndOpensAgain() {
+        Descriptors d = new Descriptors(256, OWN);
+        AcceptGate gate = new AcceptGate(d);
+        int[] freed = {0};
+        d.onFree(() -> freed[0]++);
+        for (int i = 0; i < 128; i++) {
+            assertEquals(i > 128 - Descriptors.TIGHT, gate.tight(), "at " + i);
+            assertTrue(gate.enter(0));
+            gate.accepted();
+        }
+        assertFalse(gate.enter(0));
+        assertFalse(gate.mayResume(0));
+        gate.leaving();
+        assertFalse(gate.enter(0));
+        gate.left();
+        assertEquals(1, freed[0]);
+        assertTrue(gate.mayResume(0) && gate.enter(0));
+        gate.nothing();
+        assertEquals(127, d.used(Purpose.CLIENTS));
+    }
+
+    /** Only looks on end that see the loop stand still count: a process that was stopped takes none. */
+    @Test
+    void aLoopHangsOnlyIfManyLooksOnEndSeeItStill() {
+        LoopWatch watch = new LoopWatch(3);
+        boolean[] told = new boolean[9];
+        long[] turns = {0, 0, 0, 1, 1, 2, 2, 2, 2};
+        for (int i = 0; i < turns.length; i++) {
+            told[i] = watch.hangs(turns[i]);
+        }
+        for (int i = 0; i < turns.length; i++) {
+            assertEquals(i == 8, told[i], "look " + i);
+        }
+    }
+}
--- a/src/test/java/saffronferry/state/LedgerTest.java
+++ b/src/test/java/saffronferry/state/LedgerTest.java
@@ -13,6 +13,7 @@
 import saffronferry.Contract.Outcome;
 import saffronferry.Contract.WorkerInfo;
 import saffronferry.Contract.WorkerState;
+import saffronferry.News;
 import saffronferry.lifecycle.SettingsReader;
 
 /** The ledger without sockets: one final answer whatever fails, and nothing kept of what is over. */
@@ -22,6 +23,7 @@
     private final List<String> logged = new ArrayList<>();
     private final TreeMap<Long, Runnable> timers = new TreeMap<>();
     private boolean broken;
+    private Error error;
     private Ledger<String> ledger;
 
     private final Channel channel = new Channel() {
@@ -49,6 +51,9 @@
             if (broken) {
                 throw new IllegalStateException("no socket");
             }
+            if (error != null) {
+                throw error;
+            }
             started.add(attempt);
             return () -> { };
         }
@@ -116,6 +121,35 @@
         assertEquals(0, ledger.unanswered());
     }
 
+    /** An Error on the way must not leave the ledger waiting for itself: later RPCs are served. */
+    @Test
+    public void anErrorOfTheVirtualMachineEndsOneAttemptOnly() throws Exception {
+        begin();
+        error = new NoClassDefFoundError("what could not be loaded");
+        open();
+        assertEquals(1, logged.size());
+        assertEquals("tried at the next worker or told, never left", 0, started.size());
+        error = null;
+        ledger.open(new RpcInfo("v", 0, 0, -1, 3_000_000, Double.NaN, 1, 1, false), "m", channel);
+        ledger.report(new News.Room(true));
+        timers.values().stream().toList().forEach(Runnable::run);
+        assertEquals("each has its one answer", 2, answers.size());
+    }
+
+    /** While no connection can be opened nothing is sent, whatever is free; the rest waits its turn. */
+    @Test
+    public void withoutRoomNothingIsSentUntilThereIsSome() throws Exception {
+        begin();
+        ledger.report(new News.Room(false));
+        open();
+        assertEquals(0, started.size());
+        assertEquals(List.of(), answers);
+        ledger.report(new News.Room(true));
+        assertEquals(1, started.size());
+        started.get(0).served("r", null);
+        assertEquals(List.of("r"), answers);
+    }
+
     /** Guards against an RPC left without an answer because the balancer itself failed. */
     @Test
     public void anErrorInTheBalancerFailsTheRpcAtOnce() throws Exception {
