--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -28,7 +28,7 @@
     /** An answer counts when its last byte has left; the process must not end before that. */
     private static final long FLUSH_MS = 50;
 
-    /** What opens after the descriptors are counted: the selector's three, our two sockets, a file and more. */
+    /** What opens after the descriptors are counted: the selector's, our two sockets, a file and more. */
     private static final int STILL_TO_OPEN = 8;
     /** How long after its time a drain that does not end is waited for. */
     private static final long DRAIN_SLACK_MS = 2_000;
--- a/src/main/java/saffronferry/lifecycle/Watchdog.java
+++ b/src/main/java/saffronferry/lifecycle/Watchdog.java
@@ -5,8 +5,8 @@
 
 /**
  * Ends a process whose event loop is dead or hangs: it would hold its clients' connections and its address,
- * answer nobody, and no platform would know that it must be started again. A thread of its own, since the loop
- * cannot tell of its own death; it does nothing but look.
+ * answer nobody, and no platform would know that it must be started again. A thread of its own, since the
+ * loop cannot tell of its own death; it does nothing but look.
  */
 final class Watchdog {
     /** The exit code of a process that ended itself since it could not serve: EX_SOFTWARE of sysexits.h. */
--- a/src/main/java/saffronferry/limit/AttemptRoom.java
+++ b/src/main/java/saffronferry/limit/AttemptRoom.java
@@ -25,7 +25,7 @@
         this.listener = listener;
     }
 
-    /** The system had no descriptor or port for an attempt; {@link #look} is to be called after {@link #PAUSE}. */
+    /** The system had no descriptor or port for an attempt; {@link #look} is due after {@link #PAUSE}. */
     public void refused(long now) {
         closedUntil = now + PAUSE;
         look(now);
--- a/src/main/java/saffronferry/limit/Descriptors.java
+++ b/src/main/java/saffronferry/limit/Descriptors.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * The one place that knows how many descriptors there are and who may take one. Each purpose has a number it is
- * sure of and a most; between the two it takes what others leave. The sum never passes the limit less
+ * The one place that knows how many descriptors there are and who may take one. Each purpose has a number it
+ * is sure of and a most; between the two it takes what others leave. The sum never passes the limit less
  * {@link #SPARE}, which stays for what the JVM and its libraries open unasked. For one thread.
  */
 public final class Descriptors {
@@ -42,8 +42,8 @@
         plan(Purpose.DISCOVERY, DISCOVERY, DISCOVERY);
         if (owed > total) {
             throw new IllegalArgumentException(limit + " descriptors are too few: " + own
-                    + " are the program's own, " + SPARE + " stay free, and clients, workers, probes and discovery"
-                    + " need " + owed);
+                    + " are the program's own, " + SPARE + " stay free, and clients, workers, probes and"
+                    + " discovery need " + owed);
         }
     }
 
--- a/src/main/java/saffronferry/limit/LoopWatch.java
+++ b/src/main/java/saffronferry/limit/LoopWatch.java
@@ -1,8 +1,8 @@
 package saffronferry.limit;
 
 /**
- * Tells an event loop that hangs or is dead from a process that was stopped or starved for a while. It looks at
- * a count that the loop raises, at even intervals, and counts the looks that saw none: a process that is
+ * Tells an event loop that hangs or is dead from a process that was stopped or starved for a while. It looks
+ * at a count that the loop raises, at even intervals, and counts the looks that saw none: a process that is
  * stopped takes no looks, and one that gets little of a core takes few.
  */
 public final class LoopWatch {
--- a/src/main/java/saffronferry/wire/Admission.java
+++ b/src/main/java/saffronferry/wire/Admission.java
@@ -60,8 +60,8 @@
     }
 
     /**
-     * Whoever has been given a turn to be read from, and sent nothing, is silent: not before, or a crowd would
-     * cost usual clients the connections that they have just opened.
+     * Whoever has been given a turn to be read from, and sent nothing, is silent: not before, or a crowd
+     * would cost usual clients the connections that they have just opened.
      */
     private void maySilent(Visit visit) {
         if (!visit.spoke && visits.containsKey(visit.connection)) {
