--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -110,8 +110,14 @@
     }
 
     static final class Job {
-        static final Comparator<Job> BY_DEADLINE = Comparator.<Job>comparingLong(j -> j.request.validUntil())
-                .thenComparingLong(j -> j.request.id());
+        /** A class, since the class archive cannot hold what the library's combinators make at run time. */
+        static final Comparator<Job> BY_DEADLINE = new Comparator<>() {
+            @Override
+            public int compare(Job a, Job b) {
+                int byDeadline = Long.compare(a.request.validUntil(), b.request.validUntil());
+                return byDeadline != 0 ? byDeadline : Long.compare(a.request.id(), b.request.id());
+            }
+        };
 
         final Request request;
         final JobClass spec;
--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import saffronferry.Book.Worker;
@@ -99,11 +98,16 @@
         }
         for (int z = 0; z < ring.length; z++) {
             ring[z] = lists.get(z).toArray(new Worker[0]);
-            Arrays.sort(ring[z], Comparator.<Worker>comparingInt(w -> w.hash).thenComparing(w -> w.address));
+            Arrays.sort(ring[z], Fleet::byHash);
             ours = z == zone ? Arrays.stream(ring[z]).filter(w -> w.ours).toArray(Worker[]::new) : ours;
         }
     }
 
+    private static int byHash(Worker a, Worker b) {
+        int byHash = Integer.compare(a.hash, b.hash);
+        return byHash != 0 ? byHash : a.address.compareTo(b.address);
+    }
+
     /** Index in {@link #ours} of the first worker at or after the key's place in the ring of hashes. */
     int place(long key) {
         int hash = (int) (Book.mix((int) key, (int) (key >>> 32)) >>> 40);
--- a/src/main/java/saffronferry/lifecycle/Main.java
+++ b/src/main/java/saffronferry/lifecycle/Main.java
@@ -1,8 +1,8 @@
 package saffronferry.lifecycle;
 
-import saffronferry.wire.BoundedLog;
+import saffronferry.log.BoundedLog;
+import saffronferry.log.LogProvider;
 import saffronferry.wire.BoundedTransport;
-import saffronferry.wire.LibraryLog;
 import sun.misc.Signal;
 
 /** Command line: {@code serve} is a real dispatcher, {@code adapter} the same decisions in the simulator. */
@@ -23,7 +23,7 @@
 
     private static void serve() {
         BoundedLog log = new BoundedLog();
-        LibraryLog.install(log);
+        LogProvider.install();
         Node node;
         try {
             node = new Node(Config.read(System.getenv()), log, BoundedTransport::new);
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -13,7 +13,7 @@
 import saffronferry.Balancer;
 import saffronferry.limit.AcceptGate;
 import saffronferry.limit.Descriptors;
-import saffronferry.wire.BoundedLog;
+import saffronferry.log.BoundedLog;
 import saffronferry.wire.BoundedTransport;
 import saffronferry.wire.Wire;
 
--- a/src/main/java/saffronferry/limit/AcceptGate.java
+++ b/src/main/java/saffronferry/limit/AcceptGate.java
@@ -13,7 +13,13 @@
     static final long LONGEST_PAUSE = 500;
 
     private final Descriptors descriptors;
+    /** In one turn of the loop: requests under way must not wait behind a crowd of newcomers. */
+    static final int MOST_A_TURN = 8;
+    /** A start is cold: its turns take on one more each time that so many have come in. */
+    private static final int A_STEP = 8;
+
     private long pause = FIRST_PAUSE;
+    private int accepted;
     private boolean failing;
     private int leaving;
     private long closedUntil = Long.MIN_VALUE;
@@ -31,6 +37,7 @@
     public void accepted() {
         failing = false;
         pause = FIRST_PAUSE;
+        accepted = Math.min(accepted + 1, A_STEP * MOST_A_TURN);
     }
 
     /** No connection waited after all. */
@@ -64,6 +71,11 @@
         return now >= closedUntil && descriptors.left(Purpose.CLIENTS) > 0;
     }
 
+    /** How many waiting connections a turn of the loop may take in. */
+    public int perTurn() {
+        return Math.min(MOST_A_TURN, 1 + accepted / A_STEP);
+    }
+
     /** Whether the last call failed. */
     public boolean failing() {
         return failing;
--- a/src/main/java/saffronferry/wire/BoundedLog.java
+++ b/src/main/java/saffronferry/log/BoundedLog.java
@@ -1,4 +1,4 @@
-package saffronferry.wire;
+package saffronferry.log;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -27,7 +27,7 @@
     }
 
     /** Guards the operators' terminal: a client's bytes may stand in the text. */
-    static String clean(String text) {
+    public static String clean(String text) {
         return text.substring(0, Math.min(MOST, text.length())).replaceAll("[^ -~]", "?");
     }
 }
--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import saffronferry.limit.AcceptGate;
+import saffronferry.log.BoundedLog;
 
 /**
  * The library's transport with two changes. Connections are accepted on the event loop itself: the library's
@@ -24,9 +25,6 @@
  * accepting closes the listening socket or ends the thread.
  */
 public class BoundedTransport extends JDKTransport {
-    /** In one turn of the loop: requests under way must not wait behind a crowd of newcomers. */
-    private static final int MOST_A_TURN = 8;
-
     private final AcceptGate gate;
     private final BoundedLog log;
     private EventLoopGroup loops;
@@ -72,9 +70,13 @@
     private final class Acceptor extends NioServerSocketChannel {
         private boolean paused;
 
-        @SuppressWarnings("deprecation")
         Acceptor() {
-            config().setMaxMessagesPerRead(MOST_A_TURN);
+            limitTurns();
+        }
+
+        @SuppressWarnings("deprecation")
+        private void limitTurns() {
+            config().setMaxMessagesPerRead(gate.perTurn());
         }
 
         @Override
@@ -91,6 +93,7 @@
                 }
                 accepted.add(new Accepted(this, socket));
                 gate.accepted();
+                limitTurns();
                 return 1;
             } catch (IOException | RuntimeException | Error e) {
                 // guards the listening socket, which the library closes on an Error, and its log, which fills
--- a/src/main/java/saffronferry/wire/ChannelServer.java
+++ b/src/main/java/saffronferry/wire/ChannelServer.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import saffronferry.limit.AcceptGate;
+import saffronferry.log.BoundedLog;
 import saffronferry.state.Channel;
 import saffronferry.state.Ledger;
 import saffronferry.state.RpcInfo;
--- a/src/main/java/saffronferry/wire/DiscoveryWatch.java
+++ b/src/main/java/saffronferry/wire/DiscoveryWatch.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import saffronferry.limit.Descriptors;
 import saffronferry.limit.Descriptors.Purpose;
+import saffronferry.log.BoundedLog;
 import saffronferry.state.ListUpdate;
 
 /** Keeps one watch on discovery's list. Any end, silence too, is told once; others ask again. */
--- a/src/main/java/saffronferry/wire/PeerSocket.java
+++ b/src/main/java/saffronferry/wire/PeerSocket.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import saffronferry.log.BoundedLog;
 
 /** Datagrams to and from the other dispatchers; a peer's number is its place in the configuration's list. */
 final class PeerSocket {
--- a/src/main/java/saffronferry/wire/SubchannelClient.java
+++ b/src/main/java/saffronferry/wire/SubchannelClient.java
@@ -13,6 +13,7 @@
 import saffronferry.limit.AttemptRoom;
 import saffronferry.limit.Descriptors;
 import saffronferry.limit.Descriptors.Purpose;
+import saffronferry.log.BoundedLog;
 import saffronferry.state.CallAttempt;
 
 /** Speaks with subchannels: call attempts and probes. A connection carries one request at a time. */
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -12,6 +12,7 @@
 import saffronferry.limit.AcceptGate;
 import saffronferry.limit.AttemptRoom;
 import saffronferry.limit.Descriptors;
+import saffronferry.log.BoundedLog;
 import saffronferry.state.CallAttempt;
 import saffronferry.state.Clock;
 import saffronferry.state.Ledger;
--- a/src/test/java/saffronferry/lifecycle/CrowdTest.java
+++ b/src/test/java/saffronferry/lifecycle/CrowdTest.java
@@ -16,7 +16,7 @@
 import java.util.function.Supplier;
 import org.junit.Test;
 import saffronferry.limit.AcceptGate;
-import saffronferry.wire.BoundedLog;
+import saffronferry.log.BoundedLog;
 import saffronferry.wire.BoundedTransport;
 
 /** Crowds, exhaustion and threads that die: a dispatcher goes on serving, or ends so that all can see it. */
--- a/src/test/java/saffronferry/limit/LimitsTest.java
+++ b/src/test/java/saffronferry/limit/LimitsTest.java
@@ -102,6 +102,23 @@
         assertEquals(10, gate.failed(now));
     }
 
+    /** One by one at first, while everything is cold; then more, but never a crowd in one turn. */
+    @Test
+    void turnsTakeInMoreAsTheStartWarmsUp() {
+        AcceptGate gate = new AcceptGate(new Descriptors(1024, OWN));
+        int[] atTurn = {1, 1, 1, 1, 1, 1, 1, 1, 2, 2};
+        for (int expected : atTurn) {
+            assertEquals(expected, gate.perTurn());
+            gate.enter(0);
+            gate.accepted();
+        }
+        for (int i = 0; i < 200; i++) {
+            gate.enter(0);
+            gate.accepted();
+        }
+        assertEquals(AcceptGate.MOST_A_TURN, gate.perTurn());
+    }
+
     /** With nothing left the gate is shut, and open again as soon as one has left, whichever purpose's. */
     @Test
     void theGateShutsWithTheBudgetAndOpensAgain() {
--- a/src/test/java/saffronferry/wire/ParsersTest.java
+++ b/src/test/java/saffronferry/wire/ParsersTest.java
@@ -15,6 +15,7 @@
 import saffronferry.Contract.JobClass;
 import saffronferry.Contract.Outcome;
 import saffronferry.Contract.Report;
+import saffronferry.log.BoundedLog;
 import saffronferry.state.AttemptProbe;
 import saffronferry.state.ListUpdate;
 import saffronferry.state.RpcInfo;
