Laboratory, first part: emulator, rule checker, policies, scenarios and a command line

A rule checker apart from the code under test keeps each open RPC's story. Six policies to compare with, pairwise with confidence intervals. Scenarios are TOML; all that is wrong is told at once by line, column and key. picocli: config check, lab run, compare, explain; exit 3 where a rule broke. Main leaves lifecycle (now Serve).

Measured: equal seeds give equal bytes on 1 and 8 threads; dropped, doubled, misrouted answers and sends, a drained and a cold worker flooded are each caught by name; 40 faults of a file are told at once.

--- /dev/null
+++ b/src/main/java/saffronferry/cli/LabCommand.java
@@ -0,0 +1,166 @@
+package saffronferry.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import saffronferry.lab.Lab;
+import saffronferry.lab.PairedDifference;
+import saffronferry.lab.check.RuleChecker;
+import saffronferry.lab.policy.Policy;
+import saffronferry.lab.scenario.Scenario;
+import saffronferry.lab.scenario.ScenarioException;
+import saffronferry.lab.scenario.ScenarioReader;
+import saffronferry.lab.world.World.Day;
+
+/** The laboratory: emulated days in virtual time. */
+@Command(name = "lab", description = "Plays emulated days in virtual time and compares policies.")
+final class LabCommand implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        spec.commandLine().usage(spec.commandLine().getOut());
+    }
+
+    private PrintWriter out() {
+        return spec.commandLine().getOut();
+    }
+
+    @Command(name = "run", description = "Plays a scenario's days, one for each seed.")
+    int play(@Parameters(paramLabel = "SCENARIO.toml") Path file,
+            @Option(names = "--seeds", defaultValue = "1-4",
+            description = "as 1-8 or 1,5,9 (${DEFAULT-VALUE})")
+            String seeds,
+            @Option(names = "--policy", defaultValue = "networked-queues",
+            description = "${DEFAULT-VALUE} by default")
+            String policy,
+            @Option(names = "--out", paramLabel = "DIR", description = "where result.json goes") Path dir,
+            @Option(names = "--threads", description = "days at once; as many as there are cores by default")
+            Integer threads) throws Exception {
+        Scenario scenario = read(file);
+        Policy chosen = Policy.of(policy);
+        List<Day> days = Lab.run(scenario, chosen, seeds(seeds), threads(threads));
+        table(Map.of(chosen, days));
+        save(dir, Lab.json(scenario, chosen, days).toString(1));
+        return broken(days);
+    }
+
+    @Command(name = "compare",
+            description = "Plays the same days with several policies and compares them pair by pair.")
+    int compare(@Parameters(paramLabel = "SCENARIO.toml") Path file,
+            @Option(names = "--policy",
+            description = "give it once for each; all by default") List<String> policies,
+            @Option(names = "--seeds", defaultValue = "1-8",
+            description = "as 1-8 or 1,5,9 (${DEFAULT-VALUE})")
+            String seeds,
+            @Option(names = "--threads", description = "days at once; as many as there are cores by default")
+            Integer threads) throws Exception {
+        Scenario scenario = read(file);
+        Map<Policy, List<Day>> all = new LinkedHashMap<>();
+        for (String label : policies == null ? Policy.labels() : policies) {
+            Policy p = Policy.of(label);
+            all.put(p, Lab.run(scenario, p, seeds(seeds), threads(threads)));
+        }
+        table(all);
+        List<Policy> order = List.copyOf(all.keySet());
+        out().println();
+        for (Policy other : order.subList(1, order.size())) {
+            out().println(order.get(0).label() + " against " + other.label() + ": "
+                    + PairedDifference.of(all.get(order.get(0)), all.get(other)));
+        }
+        return broken(all.values().stream().flatMap(List::stream).toList());
+    }
+
+    @Command(name = "explain", description = "Prints every value of a scenario with its unit, defaults too.")
+    int explain(@Parameters(paramLabel = "SCENARIO.toml") Path file) throws IOException {
+        try {
+            ScenarioReader.explain(file).forEach(out()::println);
+            return 0;
+        } catch (ScenarioException e) {
+            throw new IllegalArgumentException(e.getMessage());
+        }
+    }
+
+    private static Scenario read(Path file) throws IOException {
+        try {
+            return ScenarioReader.read(file);
+        } catch (ScenarioException e) {
+            throw new IllegalArgumentException("this scenario cannot be played:\n" + e.getMessage());
+        }
+    }
+
+    static List<Long> seeds(String text) {
+        List<Long> result = new ArrayList<>();
+        try {
+            for (String part : text.split(",")) {
+                String[] ends = part.trim().split("-", 2);
+                long last = Long.parseLong(ends[ends.length - 1]);
+                for (long seed = Long.parseLong(ends[0]); seed <= last; seed++) {
+                    result.add(seed);
+                }
+            }
+        } catch (NumberFormatException e) {
+            result.clear();
+        }
+        if (result.isEmpty()) {
+            throw new IllegalArgumentException("--seeds: expected as 1-8 or 1,5,9, got " + text);
+        }
+        return result;
+    }
+
+    private static int threads(Integer given) {
+        return given == null ? Runtime.getRuntime().availableProcessors() : Math.max(1, given);
+    }
+
+    private void table(Map<Policy, List<Day>> all) {
+        out().printf(Locale.ROOT, "%-18s %5s %6s %6s %6s %6s %9s %8s %8s %9s %10s %7s%n", "policy", "days",
+                "goal",
+                "whole", "10 s", "tenant", "p99 s", "tries", "messages", "us/RPC", "events/s", "broken");
+        all.forEach((policy, days) -> out().printf(Locale.ROOT,
+                "%-18s %5d %6.3f %6.3f %6.3f %6.3f %9.3f %8.2f %8.2f %9.1f %10.0f %7d%n", policy.label(),
+                days.size(),
+                mean(days, "goal"), mean(days, "worth_served"), mean(days, "worst_10_s"),
+                mean(days, "worst_tenant"),
+                days.stream().mapToDouble(d ->
+                d.json().getJSONObject("latency_s").getDouble("p99")).average().orElse(0),
+                sum(days, "attempts") / sum(days, "requests"),
+                (sum(days, "datagrams") + sum(days, "probes")) / sum(days, "requests"),
+                days.stream().mapToDouble(Day::decisionMicros).average().orElse(0),
+                days.stream().mapToDouble(d -> d.events() / d.seconds()).average().orElse(0),
+                days.stream().mapToInt(Day::brokenInAll).sum()));
+    }
+
+    private static double mean(List<Day> days, String key) {
+        return days.stream().mapToDouble(d -> d.json().getDouble(key)).average().orElse(0);
+    }
+
+    private static double sum(List<Day> days, String key) {
+        return days.stream().mapToDouble(d -> d.json().getDouble(key)).sum();
+    }
+
+    private void save(Path dir, String json) throws IOException {
+        if (dir != null) {
+            Files.createDirectories(dir);
+            Path file = Files.writeString(dir.resolve("result.json"), json + "\n");
+            out().println("wrote " + file);
+        }
+    }
+
+    private int broken(List<Day> days) {
+        List<RuleChecker.Broken> all = days.stream().flatMap(d -> d.broken().stream()).toList();
+        all.stream().limit(3).forEach(b -> spec.commandLine().getErr().println(b));
+        return all.isEmpty() ? 0 : Main.BROKEN;
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/lab/scenario/Scenario.java
@@ -0,0 +1,64 @@
+package saffronferry.lab.scenario;
+
+import java.util.List;
+import saffronferry.Contract.Effect;
+import saffronferry.Contract.Group;
+
+/**
+ * What is played: a fleet, its clients and network, and what goes wrong. Times in microseconds unless said.
+ */
+public record Scenario(String name, long length, List<String> zones, int workers, int cellSize,
+        int dispatchers,
+                       List<Kind> kinds, List<RpcClass> classes, List<Tenant> tenants, Load load,
+                       Clients clients,
+                       Network network, Discovery discovery, Reports reports, Rules rules, Prices prices,
+                       List<Trouble> troubles) {
+
+    /** A kind of worker: {@code speed} 1 does a second of work in a second on one core. */
+    public record Kind(String name, double share, int cores, double speed, double speedCv, int slots,
+            int queue,
+                       double thrashAt, double thrash, double coldFrom, long cold, double errorRate) { }
+
+    /**
+     * A class of requests; {@code work} is the mean in microseconds at speed 1, {@code tail} the log's sigma.
+     */
+    public record RpcClass(String name, double share, long aim, double stretch, long deadline, double worth,
+                           double lateWorth, Effect effect, Group group, long keyTtl, double work,
+                           double tail) { }
+
+    /** An association: its share of the requests, and of the fleet's capacity that it is entitled to. */
+    public record Tenant(String name, double share, double entitled) { }
+
+    /** Offered work as a share of the fleet's capacity, and how it swings. */
+    public record Load(double share, String shape, double swing, double zoneSkew, long most) { }
+
+    /** How clients retry: {@code honour} is the share of them that heeds Retry-After. */
+    public record Clients(int retries, long backoff, double honour) { }
+
+    /** One-way delays; {@code jitter} is the share by which one may be longer; {@code loss} of datagrams. */
+    public record Network(long same, long cross, long client, double jitter, double loss, long connectTimeout,
+                          long frontNotice) { }
+
+    /** How late the list is; a call takes {@code call} and at most {@code perSecond} are served. */
+    public record Discovery(long notice, long silentNotice, long add, long call, double perSecond) { }
+
+    /** Load reports: refreshed each {@code period}, {@code noise} relative. */
+    public record Reports(boolean on, long period, double noise) { }
+
+    /** The rules' figures. */
+    public record Rules(long slack, long drain, double fallMultiple, long fall, int mostTries,
+            long maxRetryAfter) { }
+
+    /** What the module is told that things cost. */
+    public record Prices(double peer, double probe, double cross, double overShare) { }
+
+    /** Something that goes wrong; what {@code part} and {@code size} mean depends on the kind. */
+    public record Trouble(String kind, long at, long length, double part, double size, String zone,
+            String tenant) { }
+
+    /** The mean work of a request in microseconds at speed 1. */
+    public double meanWork() {
+        double all = classes.stream().mapToDouble(RpcClass::share).sum();
+        return classes.stream().mapToDouble(c -> c.share() / all * c.work()).sum();
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/lab/scenario/ScenarioReader.java
@@ -0,0 +1,241 @@
+package saffronferry.lab.scenario;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseError;
+import org.tomlj.TomlParseResult;
+import saffronferry.Contract.Effect;
+import saffronferry.Contract.Group;
+import saffronferry.lab.scenario.Scenario.Clients;
+import saffronferry.lab.scenario.Scenario.Discovery;
+import saffronferry.lab.scenario.Scenario.Kind;
+import saffronferry.lab.scenario.Scenario.Load;
+import saffronferry.lab.scenario.Scenario.Network;
+import saffronferry.lab.scenario.Scenario.Prices;
+import saffronferry.lab.scenario.Scenario.Reports;
+import saffronferry.lab.scenario.Scenario.RpcClass;
+import saffronferry.lab.scenario.Scenario.Rules;
+import saffronferry.lab.scenario.Scenario.Tenant;
+import saffronferry.lab.scenario.Scenario.Trouble;
+
+/** Reads scenarios. Every key has a default, a unit and bounds; all that is wrong is told at once. */
+public final class ScenarioReader {
+    private static final Map<String, Effect> EFFECTS =
+            Map.of("repeatable", Effect.SAFE, "by_key", Effect.KEYED, "once", Effect.UNSAFE);
+    private static final Map<String, Group> GROUPS = Map.of("all", Group.ALL, "zone", Group.ZONE, "cell",
+            Group.CELL);
+    /** Kinds of trouble; docs/operations/laboratory.md says what part and size mean for each. */
+    public static final List<String> TROUBLES = List.of("slow", "hung", "crash", "zone_loss", "deploy",
+            "dispatcher_restart", "tenant_burst", "stale_reports", "discovery_outage", "peer_cut");
+
+    private final List<Problem> problems = new ArrayList<>();
+    private final List<Section.Value> values = new ArrayList<>();
+    private final String file;
+
+    private ScenarioReader(String file) {
+        this.file = file;
+    }
+
+    /** Reads a file. */
+    public static Scenario read(Path path) throws IOException, ScenarioException {
+        return parse(path.getFileName().toString(), Files.readString(path));
+    }
+
+    /** Reads a text; {@code file} is for messages. */
+    public static Scenario parse(String file, String text) throws ScenarioException {
+        ScenarioReader reader = new ScenarioReader(file);
+        Scenario scenario = reader.scenario(Toml.parse(text));
+        if (!reader.problems.isEmpty()) {
+            throw new ScenarioException(reader.problems);
+        }
+        return scenario;
+    }
+
+    /** Each value of a file as it counts, one a line, with its unit and whether it is the default. */
+    public static List<String> explain(Path path) throws IOException, ScenarioException {
+        ScenarioReader reader = new ScenarioReader(path.getFileName().toString());
+        reader.scenario(Toml.parse(Files.readString(path)));
+        if (!reader.problems.isEmpty()) {
+            throw new ScenarioException(reader.problems);
+        }
+        return reader.values.stream().map(v -> v.key() + " = " + v.value() + "  # " + v.unit()
+                + (v.given() ? "" : "; the default")).toList();
+    }
+
+    private static long micros(double seconds) {
+        return Math.round(seconds * 1e6);
+    }
+
+    private Scenario scenario(TomlParseResult toml) {
+        for (TomlParseError e : toml.errors()) {
+            problems.add(new Problem(file, e.position().line(), e.position().column(), "", e.getMessage()));
+        }
+        Section top = new Section(file, "", toml, problems, values);
+        String name = top.text("name", file.replaceFirst("\\.toml$", ""), List.of());
+        long length = micros(top.number("length_s", 50, 1, 36_000, "seconds"));
+        Section fleet = top.section("fleet");
+        List<String> zones = fleet.texts("zones", List.of("dub-north", "dub-south"));
+        int workers = fleet.whole("workers", 8, 1, 100_000, "workers");
+        int cell = fleet.whole("cell_size", 8, 1, 100_000, "workers in a cell");
+        int dispatchers = fleet.whole("dispatchers", 2, 1, 1_000, "dispatchers");
+        List<Kind> kinds = new ArrayList<>();
+        fleet.sections("kind").forEach(s -> kinds.add(kind(s)));
+        if (kinds.isEmpty()) {
+            kinds.add(kind(new Section(file, "fleet.kind", null, problems, values)));
+        }
+        fleet.done();
+        List<RpcClass> classes = new ArrayList<>();
+        top.sections("class").forEach(s -> classes.add(rpcClass(s)));
+        if (classes.isEmpty()) {
+            classes.add(rpcClass(new Section(file, "class", null, problems, values)));
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        top.sections("tenant").forEach(s -> tenants.add(tenant(s)));
+        if (tenants.isEmpty()) {
+            tenants.add(new Tenant("all", 1, 1));
+        }
+        Scenario result = new Scenario(name, length, zones, workers, cell, dispatchers, List.copyOf(kinds),
+                List.copyOf(classes), List.copyOf(tenants), load(top.section("load")),
+                clients(top.section("clients")),
+                network(top.section("network")), discovery(top.section("discovery")),
+                reports(top.section("reports")),
+                rules(top.section("rules")), prices(top.section("prices")),
+                troubles(top, zones, tenants, length));
+        top.done();
+        return result;
+    }
+
+    private Kind kind(Section s) {
+        Kind k = new Kind(s.text("name", "box", List.of()), s.number("share", 1, 0, 1e6,
+                "relative number of workers"),
+                s.whole("cores", 4, 1, 1024, "cores"), s.number("speed", 1, 0.01, 100,
+                "work done a second and core"),
+                s.number("speed_cv", 0.1, 0, 1, "spread of speeds, relative"),
+                s.whole("slots", 4, 1, 4096, "jobs at once"),
+                s.whole("queue", 8, 0, 100_000, "jobs that may wait"),
+                s.number("thrash_at", 8, 1, 100_000, "jobs held from which on it slows"),
+                s.number("thrash", 0.05, 0, 1, "speed lost for each job beyond"),
+                s.number("cold_from", 0.4, 0.01, 1, "share of capacity just after its start"),
+                micros(s.number("cold_s", 6, 0, 3_600, "seconds until warm at the latest")),
+                s.number("error_rate", 0, 0, 1, "share of jobs that fail"));
+        s.done();
+        return k;
+    }
+
+    private RpcClass rpcClass(Section s) {
+        RpcClass c = new RpcClass(s.text("name", "rpc", List.of()),
+                s.number("share", 1, 0, 1e6, "relative number"),
+                micros(s.number("aim_s", 0.25, 0.001, 3_600, "seconds wanted")),
+                s.number("stretch", 1.75, 0, 100, "of the job's own work, added to the aim"),
+                micros(s.number("deadline_s", 6, 0.01, 3_600, "seconds a client waits, all tries together")),
+                s.number("worth", 1, 0, 1e6, "points"), s.number("late_worth", 0.3, 0, 1,
+                "of the worth when late"),
+                EFFECTS.get(s.text("effect", "repeatable", List.of("repeatable", "by_key", "once"))),
+                GROUPS.get(s.text("group", "all", List.of("all", "zone", "cell"))),
+                micros(s.number("key_ttl_s", 40, 0, 3_600, "seconds that repeats are dropped")),
+                micros(s.number("work_s", 0.2, 0.0001, 3_600, "seconds of work, mean")),
+                s.number("tail", 0.8, 0, 4, "sigma of the work's logarithm"));
+        s.done();
+        return c;
+    }
+
+    private Tenant tenant(Section s) {
+        Tenant t = new Tenant(s.text("name", null, List.of()),
+                s.number("share", 1, 0, 1e6, "relative number of requests"),
+                s.number("entitled", 0, 0, 1, "share of the capacity; 0 as its share of the requests"));
+        s.done();
+        return t;
+    }
+
+    private Load load(Section s) {
+        Load l = new Load(s.number("share", 0.6, 0.001, 20, "of the fleet's capacity"),
+                s.text("shape", "steady", List.of("steady", "bursty", "surge")),
+                s.number("swing", 0.25, 0, 1, "relative height of the swing"),
+                s.number("zone_skew", 0, 0, 0.9, "how unevenly zones are asked"),
+                (long) s.number("most_requests", 2e6, 1, 1e9, "first tries; a longer day is cut"));
+        s.done();
+        return l;
+    }
+
+    private Clients clients(Section s) {
+        Clients c = new Clients(s.whole("retries", 2, 0, 100, "tries after the first"),
+                micros(s.number("backoff_s", 0.05, 0, 60, "seconds before the next try, doubling")),
+                s.number("honour", 0.6, 0, 1, "share of clients that heeds Retry-After"));
+        s.done();
+        return c;
+    }
+
+    private Network network(Section s) {
+        Network n = new Network(micros(s.number("same_s", 0.0002, 0, 10, "seconds one way in a zone")),
+                micros(s.number("cross_s", 0.0006, 0, 10, "seconds one way between zones")),
+                micros(s.number("client_s", 0.0007, 0, 10, "seconds one way from clients")),
+                s.number("jitter", 0.2, 0, 10, "relative"), s.number("loss", 0.01, 0, 1, "of datagrams"),
+                micros(s.number("connect_timeout_s", 0.25, 0.001, 60, "seconds")),
+                micros(s.number("front_notice_s", 2.5, 0, 600,
+                "seconds the front sends to a dead dispatcher")));
+        s.done();
+        return n;
+    }
+
+    private Discovery discovery(Section s) {
+        Discovery d = new Discovery(micros(s.number("notice_s", 2, 0, 600,
+                "seconds until a drain or an end is listed")),
+                micros(s.number("silent_notice_s", 8, 0, 600, "seconds until a dead one is listed")),
+                micros(s.number("add_s", 1, 0, 600, "seconds until a new one is listed")),
+                micros(s.number("call_s", 0.05, 0.0001, 60, "seconds a call takes")),
+                s.number("calls_per_s", 4, 0.01, 1e6, "calls a second; others wait their turn"));
+        s.done();
+        return d;
+    }
+
+    private Reports reports(Section s) {
+        Reports r = new Reports(s.flag("on", true), micros(s.number("period_s", 0.06, 0.0001, 60, "seconds")),
+                s.number("noise", 0.05, 0, 1, "relative"));
+        s.done();
+        return r;
+    }
+
+    private Rules rules(Section s) {
+        Rules r = new Rules(micros(s.number("slack_s", 0.02, 0, 10,
+                "seconds after the deadline for an answer")),
+                micros(s.number("drain_s", 2, 0, 60, "seconds after the word until no fresh work comes")),
+                s.number("fall_multiple", 3, 0.1, 100, "of a cold one's capacity"),
+                micros(s.number("fall_s", 3, 0.1, 600, "seconds of the window")),
+                s.whole("most_tries", 4, 1, 100, "attempts"),
+                micros(s.number("max_retry_after_s", 2, 0, 60, "seconds")));
+        s.done();
+        return r;
+    }
+
+    private Prices prices(Section s) {
+        Prices p = new Prices(s.number("peer", 0.008, 0, 10, "points"),
+                s.number("probe", 0.01, 0, 10, "points"),
+                s.number("cross", 0.03, 0, 10, "points"), s.number("over_share", 0.05, 0, 1, "of the worth"));
+        s.done();
+        return p;
+    }
+
+    private List<Trouble> troubles(Section top, List<String> zones, List<Tenant> tenants, long length) {
+        List<Trouble> result = new ArrayList<>();
+        for (Section s : top.sections("trouble")) {
+            String kind = s.text("kind", null, TROUBLES);
+            Trouble t = new Trouble(kind, micros(s.number("at_s", 10, 0, 36_000, "seconds")),
+                    micros(s.number("length_s", 15, 0.001, 36_000, "seconds")),
+                    s.number("part", 0.2, 0, 1, "share of workers or dispatchers"),
+                    s.number("size", 4, 0, 1e6, "how bad; depends on the kind"),
+                    s.text("zone", zones.get(0), zones),
+                    s.text("tenant", tenants.get(0).name(), tenants.stream().map(Tenant::name).toList()));
+            if (t.at() > length) {
+                s.wrong("at_s", "is after the end of the day, " + length / 1e6 + " s");
+            }
+            s.done();
+            result.add(t);
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/lab/world/Troubles.java
@@ -0,0 +1,136 @@
+package saffronferry.lab.world;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.ListSampler;
+import saffronferry.lab.scenario.Scenario.Trouble;
+
+/** Makes go wrong what the scenario says; each trouble draws from a stream of its own. */
+final class Troubles {
+    /** How long a process takes to be up again. */
+    private static final long RESTART = 1_500_000;
+
+    private final World world;
+    private final Simulation sim;
+
+    Troubles(World world) {
+        this.world = world;
+        sim = world.sim;
+    }
+
+    void plan(long start) {
+        List<Trouble> all = world.scenario.troubles();
+        for (int i = 0; i < all.size(); i++) {
+            Trouble t = all.get(i);
+            UniformRandomProvider random = world.streams.of("trouble", i);
+            int index = i;
+            sim.at(start + t.at(), () -> begin(t, index, random));
+        }
+    }
+
+    private List<Worker> part(double part, UniformRandomProvider random) {
+        List<Worker> up = new ArrayList<>(world.serving());
+        ListSampler.shuffle(random, up);
+        return up.subList(0, (int) Math.min(up.size(), Math.max(1, Math.round(part * up.size()))));
+    }
+
+    private void during(Trouble t, Runnable begin, Runnable end) {
+        begin.run();
+        sim.after(t.length(), end);
+    }
+
+    private void begin(Trouble t, int index, UniformRandomProvider random) {
+        switch (t.kind()) {
+            case "slow" -> part(t.part(), random).forEach(w -> during(t, () -> w.slow(Math.max(1, t.size())),
+                    () -> w.slow(1)));
+            case "hung" -> part(t.part(), random).forEach(w -> during(t, () -> w.hang(true), () -> {
+                if (w.up()) {
+                    w.crash();
+                    restart(w);
+                }
+            }));
+            case "crash" -> part(t.part(), random).forEach(w -> {
+                w.crash();
+                world.registry.changed(w, world.registry.settings().silentNotice());
+                restart(w);
+            });
+            case "zone_loss" -> world.serving().stream()
+                    .filter(w -> w.zone == world.scenario.zones().indexOf(t.zone())).toList().forEach(w -> {
+                        w.crash();
+                        world.registry.changed(w, world.registry.settings().silentNotice());
+                        sim.after(t.length(), () -> up(w));
+                    });
+            case "deploy" -> deploy(t, part(t.part(), random));
+            case "dispatcher_restart" -> restartNodes(t, random);
+            case "tenant_burst" -> burst(t, index);
+            case "stale_reports" -> part(t.part(), random).forEach(w -> during(t, () -> w.freezeReports(true),
+                    () -> w.freezeReports(false)));
+            case "discovery_outage" -> during(t, () -> world.registry.outage(true),
+                    () -> world.registry.outage(false));
+            case "peer_cut" -> during(t, () -> world.wires.cutPeers(true), () -> world.wires.cutPeers(false));
+            default -> throw new IllegalStateException("no trouble " + t.kind());
+        }
+    }
+
+    private void restart(Worker w) {
+        sim.after(RESTART, () -> up(w));
+    }
+
+    private void up(Worker w) {
+        w.start(true);
+        world.registry.changed(w, world.registry.settings().add());
+    }
+
+    /** Batches, one after the other over the trouble's length; each drains for {@code size} seconds. */
+    private void deploy(Trouble t, List<Worker> all) {
+        long gap = t.length() / all.size();
+        long grace = Math.round(Math.max(0.1, t.size()) * 1e6);
+        for (int i = 0; i < all.size(); i++) {
+            Worker old = all.get(i);
+            sim.after(i * gap, () -> {
+                if (!old.up()) {
+                    return;
+                }
+                old.drain();
+                world.registry.changed(old, world.registry.settings().notice());
+                sim.after(grace, () -> {
+                    if (old.up()) {
+                        old.crash();
+                        world.registry.changed(old, world.registry.settings().notice());
+                    }
+                    Worker successor = world.successor(old);
+                    successor.start(true);
+                    world.registry.changed(successor, world.registry.settings().add());
+                });
+            });
+        }
+    }
+
+    /**
+     * A part of the dispatchers, spread evenly over the length (0.001 s: all at once); down {@code size} s.
+     */
+    private void restartNodes(Trouble t, UniformRandomProvider random) {
+        List<Node> nodes = new ArrayList<>(world.nodes());
+        Collections.rotate(nodes, random.nextInt(nodes.size()));
+        int n = (int) Math.max(1, Math.round(t.part() * nodes.size()));
+        for (int i = 0; i < n; i++) {
+            Node node = nodes.get(i);
+            sim.after(t.length() * i / n, () -> world.restart(node,
+                    Math.round(Math.max(0.01, t.size()) * 1e6)));
+        }
+    }
+
+    private void burst(Trouble t, int index) {
+        int tenant = 0;
+        while (!world.scenario.tenants().get(tenant).name().equals(t.tenant())) {
+            tenant++;
+        }
+        double more = Math.max(0, t.size() - 1) * world.askedPerSecond(tenant);
+        if (more > 0) {
+            world.clients.stream("burst", index, more, tenant, sim.now(), sim.now() + t.length(),
+                    World.STEADY);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/lab/world/World.java
@@ -0,0 +1,264 @@
+package saffronferry.lab.world;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.json.JSONArray;
+import org.json.JSONObject;
+import saffronferry.Contract.JobClass;
+import saffronferry.Contract.Settings;
+import saffronferry.Contract.Tenant;
+import saffronferry.Contract.WorkerInfo;
+import saffronferry.lab.check.RuleChecker;
+import saffronferry.lab.policy.Brain;
+import saffronferry.lab.policy.Policy;
+import saffronferry.lab.scenario.Scenario;
+import saffronferry.lab.scenario.Scenario.Kind;
+
+/**
+ * One emulated day. Deterministic: the same scenario, policy and seed give the same day, to the last byte.
+ */
+public final class World {
+    /** What a day came to; {@code json} holds nothing that depends on the machine. */
+    public record Day(JSONObject json, double goal, List<RuleChecker.Broken> broken, int brokenInAll,
+            long events,
+                      long requests, double decisionMicros, double seconds) { }
+
+    static final Clients.Shape STEADY = shape(t -> 1, 1);
+    /** The module's clock: far from 0, which stands for long ago. */
+    private static final long START = 1_000_000_000;
+    private static final long SETTLE = 2_000_000;
+    private static final long FALLEN = 5_000_000;
+
+    final Scenario scenario;
+    final Streams streams;
+    final Simulation sim = new Simulation(START);
+    final RuleChecker checker;
+    final Wires wires;
+    final Registry registry;
+    final Clients clients;
+    final Tally tally;
+    private final Map<String, Worker> workers = new LinkedHashMap<>();
+    private final List<Node> nodes = new ArrayList<>();
+    private final Map<Node, Long> downSince = new HashMap<>();
+    private final double capacity;
+    private final long seed;
+    private final UnaryOperator<Brain> wrap;
+    private int successors;
+
+    private World(Scenario scenario, Policy policy, long seed, UnaryOperator<Brain> wrap) {
+        this.scenario = scenario;
+        this.seed = seed;
+        this.wrap = wrap;
+        streams = new Streams(seed);
+        checker = new RuleChecker(scenario);
+        wires = new Wires(scenario.network(), streams.of("network", 0));
+        registry = new Registry(scenario.discovery(), sim);
+        tally = new Tally(scenario, START + SETTLE);
+        makeWorkers();
+        capacity = workers.values().stream().mapToDouble(Worker::fullCapacity).sum();
+        clients = new Clients(this, capacity);
+        for (int i = 0; i < scenario.dispatchers(); i++) {
+            nodes.add(new Node(i, i % scenario.zones().size(), this, (d, life) -> brain(policy, d, life)));
+        }
+    }
+
+    /** Plays a day. */
+    public static Day play(Scenario scenario, Policy policy, long seed) {
+        return play(scenario, policy, seed, UnaryOperator.identity());
+    }
+
+    /** Plays a day with each brain wrapped, so that tests can sabotage it. */
+    public static Day play(Scenario scenario, Policy policy, long seed, UnaryOperator<Brain> wrap) {
+        long begun = System.nanoTime();
+        World world = new World(scenario, policy, seed, wrap);
+        world.run();
+        JSONObject json = world.tally.json(world.sim.done());
+        JSONArray broken = new JSONArray();
+        world.checker.broken().forEach(b -> broken.put(new JSONObject().put("rule", b.rule())
+                .put("at_s", b.at() / 1e6).put("dispatcher", b.dispatcher()).put("what", b.what())
+                .put("story", new JSONArray(b.story()))));
+        json.put("seed", seed).put("policy", policy.label()).put("rules_broken", world.checker.count())
+                .put("broken", broken);
+        long busy = world.nodes.stream().mapToLong(Node::busyNanos).sum();
+        return new Day(json, world.tally.goal(), world.checker.broken(), world.checker.count(),
+                world.sim.done(),
+                world.tally.requests(), busy / 1e3 / Math.max(1, world.tally.requests()),
+                (System.nanoTime() - begun) / 1e9);
+    }
+
+    private void run() {
+        List<WorkerInfo> known = registry.all();
+        nodes.forEach(node -> node.start(known));
+        long start = START + SETTLE;
+        long end = start + scenario.length();
+        Clients.Shape shape = shapeOf(start, end);
+        clients.stream("day", 0, capacity * scenario.load().share() / (scenario.meanWork() / 1e6), -1, start,
+                end,
+                shape);
+        new Troubles(this).plan(start);
+        long longest = scenario.classes().stream().mapToLong(Scenario.RpcClass::deadline).max().orElse(0);
+        sim.run(end + longest + SETTLE);
+    }
+
+    private interface Factor {
+        double at(long time);
+    }
+
+    private static Clients.Shape shape(Factor factor, double most) {
+        return new Clients.Shape() {
+            @Override
+            public double at(long time) {
+                return factor.at(time);
+            }
+
+            @Override
+            public double most() {
+                return most;
+            }
+        };
+    }
+
+    private Clients.Shape shapeOf(long start, long end) {
+        double swing = scenario.load().swing();
+        return switch (scenario.load().shape()) {
+            case "bursty" -> shape(t -> 1 + swing * Math.sin((t - start) / 17e6 * 2 * Math.PI), 1 + swing);
+            case "surge" -> shape(t -> {
+                double x = (t - start) / (double) (end - start);
+                return x > 0.4 && x < 0.6 ? 1 + 4 * swing : 1;
+            }, 1 + 4 * swing);
+            default -> STEADY;
+        };
+    }
+
+    private void makeWorkers() {
+        UniformRandomProvider random = streams.of("fleet", 0);
+        double[] owed = new double[scenario.kinds().size()];
+        double shares = scenario.kinds().stream().mapToDouble(Kind::share).sum();
+        for (int i = 0; i < scenario.workers(); i++) {
+            int kind = 0;
+            for (int k = 0; k < owed.length; k++) { // the one most in arrears: shares hold at any size
+                owed[k] += scenario.kinds().get(k).share() / shares;
+                kind = owed[k] > owed[kind] ? k : kind;
+            }
+            owed[kind]--;
+            int zone = i % scenario.zones().size();
+            int cell = zone * 1_000_000 + i / scenario.zones().size() / scenario.cellSize();
+            Worker w = new Worker(address(0, i), zone, kind, cell, scenario, sim, random);
+            workers.put(w.address, w);
+            registry.know(w.info());
+        }
+    }
+
+    private static String address(int generation, int number) {
+        return "10." + generation + "." + number / 256 + "." + number % 256 + ":9100";
+    }
+
+    private Brain brain(Policy policy, int dispatcher, int life) {
+        UniformRandomProvider random = streams.of("brain " + dispatcher, life);
+        return wrap.apply(policy.brain(settings(dispatcher, random.nextLong()), random, address -> {
+            Worker w = workers.get(address);
+            return w == null ? Double.MAX_VALUE : w.load();
+        }));
+    }
+
+    private Settings settings(int dispatcher, long brainSeed) {
+        List<JobClass> classes = scenario.classes().stream().map(c ->
+                new JobClass(c.name(), c.aim(), c.stretch(),
+                c.deadline(), c.worth(), c.lateWorth(), c.effect(), c.group(), c.keyTtl(), -1,
+                false)).toList();
+        List<Tenant> tenants = new ArrayList<>();
+        for (int i = 0; i < scenario.tenants().size(); i++) {
+            tenants.add(new Tenant(scenario.tenants().get(i).name(), clients.allowance()[i]));
+        }
+        long cold = scenario.kinds().stream().mapToLong(Kind::cold).max().orElse(0);
+        double coldShare = scenario.kinds().stream().mapToDouble(Kind::coldFrom).min().orElse(1);
+        Scenario.Rules rules = scenario.rules();
+        Scenario.Prices prices = scenario.prices();
+        return new Settings(brainSeed, dispatcher, scenario.dispatchers(),
+                dispatcher % scenario.zones().size(),
+                scenario.zones().size(), scenario.kinds().size(), classes, tenants, prices.overShare(),
+                rules.mostTries(), true, true, true, scenario.reports().on(), true, true, true, 0, cold,
+                coldShare,
+                rules.fallMultiple(), rules.maxRetryAfter(), prices.peer(), prices.probe(), prices.cross());
+    }
+
+    // ---- who is there ----
+
+    Worker worker(String address) {
+        return workers.get(address);
+    }
+
+    List<Node> nodes() {
+        return nodes;
+    }
+
+    List<Worker> serving() {
+        return workers.values().stream().filter(Worker::up).toList();
+    }
+
+    double askedPerSecond(int tenant) {
+        double shares = scenario.tenants().stream().mapToDouble(Scenario.Tenant::share).sum();
+        return capacity * scenario.load().share() / (scenario.meanWork() / 1e6)
+                * scenario.tenants().get(tenant).share() / shares;
+    }
+
+    /** A machine that takes an old one's place, by a name of its own. */
+    Worker successor(Worker old) {
+        Worker w = new Worker(address(1, successors), old.zone, old.kindIndex, old.cell, scenario, sim,
+                streams.of("successor", successors));
+        successors++;
+        workers.put(w.address, w);
+        return w;
+    }
+
+    /** A cold worker that was sent too much: it is down for a while. */
+    void fallsOver(Worker w) {
+        w.crash();
+        registry.changed(w, registry.settings().silentNotice());
+        sim.after(FALLEN, () -> {
+            if (!w.up()) {
+                w.start(true);
+                registry.changed(w, registry.settings().add());
+            }
+        });
+    }
+
+    void restart(Node node, long down) {
+        if (!node.up()) {
+            return;
+        }
+        List<WorkerInfo> known = node.kill();
+        registry.stop(node);
+        downSince.put(node, sim.now());
+        sim.after(down, () -> {
+            downSince.remove(node);
+            node.start(known);
+        });
+    }
+
+    /** Whom the front sends a client of a zone to: it takes a while to notice that a dispatcher is dead. */
+    Node front(int zone, UniformRandomProvider random) {
+        List<Node> near = believedUp(zone);
+        List<Node> all = near.isEmpty() ? believedUp(-1) : near;
+        return all.isEmpty() ? null : all.get(random.nextInt(all.size()));
+    }
+
+    private List<Node> believedUp(int zone) {
+        return nodes.stream().filter(n -> (zone < 0 || n.zone == zone)
+                && sim.now() - downSince.getOrDefault(n,
+                sim.now()) < scenario.network().frontNotice()).toList();
+    }
+
+    void tell(Node from, int to, byte[] bytes) {
+        tally.datagrams++;
+        if (to >= 0 && to < nodes.size() && !wires.loses()) {
+            Node peer = nodes.get(to);
+            sim.after(wires.between(from.zone, peer.zone), () -> peer.peerSaid(from.number, bytes));
+        }
+    }
+}
--- a/src/main/java/saffronferry/lifecycle/Config.java
+++ b/src/main/java/saffronferry/lifecycle/Config.java
@@ -47,6 +47,11 @@
         }
     }
 
+    /** Reads a file as {@code serve} does; {@link IllegalArgumentException} names what is wrong. */
+    public static void check(Path file) {
+        read(Map.of("BALANCER_CONFIG", file.toString()));
+    }
+
     Config(JSONObject json) {
         listen = key("listen", () -> Address.parse(json.getString("listen")));
         discovery = key("discovery", () -> Address.parse(json.getString("discovery")));
--- a/src/main/java/saffronferry/lifecycle/Main.java
+++ b/src/main/java/saffronferry/lifecycle/Serve.java
@@ -5,23 +5,12 @@
 import saffronferry.wire.BoundedTransport;
 import sun.misc.Signal;
 
-/** Command line: {@code serve} is a real dispatcher, {@code adapter} the same decisions in the simulator. */
-public final class Main {
-    private Main() { }
+/** The program {@code serve}: a real dispatcher, from its configuration to its end. */
+public final class Serve {
+    private Serve() { }
 
-    public static void main(String[] args) {
-        String command = args.length == 1 ? args[0] : "";
-        switch (command) {
-            case "serve" -> serve();
-            case "adapter" -> saffronferry.adapter.Main.run();
-            default -> {
-                System.err.println("usage: java -jar saffronferry.jar serve | adapter");
-                System.exit(2);
-            }
-        }
-    }
-
-    private static void serve() {
+    /** Starts it; the process ends with 1 where it cannot run, with 2 where the configuration is at fault. */
+    public static void run() {
         BoundedLog log = new BoundedLog();
         LogProvider.install();
         Node node;
--- /dev/null
+++ b/src/test/java/saffronferry/lab/LabTest.java
@@ -0,0 +1,244 @@
+package saffronferry.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import saffronferry.Contract.Request;
+import saffronferry.Contract.WorkerInfo;
+import saffronferry.Contract.WorkerState;
+import saffronferry.News;
+import saffronferry.Step;
+import saffronferry.lab.check.RuleChecker.Broken;
+import saffronferry.lab.policy.Brain;
+import saffronferry.lab.policy.Policy;
+import saffronferry.lab.scenario.Scenario;
+import saffronferry.lab.scenario.ScenarioException;
+import saffronferry.lab.scenario.ScenarioReader;
+import saffronferry.lab.world.World;
+import saffronferry.lab.world.World.Day;
+
+/** The laboratory: equal days, rules that are caught when broken, and scenarios that cannot be played. */
+class LabTest {
+    private static Scenario example(String name) throws Exception {
+        return ScenarioReader.read(Path.of("examples/lab/" + name + ".toml"));
+    }
+
+    /** The same seeds on one thread and on eight: the same result, to the last byte; other seeds, another. */
+    @Test
+    void theSameSeedsGiveTheSameBytes() throws Exception {
+        Scenario s = example("alumni-zone-loss-in-deploy");
+        List<Long> seeds = List.of(1L, 2L, 3L);
+        String one = Lab.json(s, Policy.NETWORKED_QUEUES, Lab.run(s, Policy.NETWORKED_QUEUES, seeds, 1)).toString();
+        String eight = Lab.json(s, Policy.NETWORKED_QUEUES, Lab.run(s, Policy.NETWORKED_QUEUES, seeds, 8)).toString();
+        assertEquals(one, eight);
+        assertNotEquals(World.play(s, Policy.RANDOM, 4).json().toString(),
+                World.play(s, Policy.RANDOM, 5).json().toString());
+    }
+
+    /** Two policies meet the same requests: what one decides shifts nothing for the other. */
+    @Test
+    void policiesMeetTheSameDay() throws Exception {
+        Scenario s = example("alumni-slow");
+        Set<Object> asked = new HashSet<>();
+        for (Policy p : Policy.values()) {
+            asked.add(World.play(s, p, 7).json().getLong("requests"));
+        }
+        assertEquals(1, asked.size());
+    }
+
+    /** Textbook policies may push a cold worker over where few are left; the program's own may not. */
+    @Test
+    void networkedQueuesKeepTheRulesInEveryExample() throws Exception {
+        try (Stream<Path> files = Files.list(Path.of("examples/lab"))) {
+            for (Path file : files.sorted().toList()) {
+                Scenario s = ScenarioReader.read(file);
+                for (Policy p : Policy.values()) {
+                    Day day = World.play(s, p, 3);
+                    assertTrue(p != Policy.NETWORKED_QUEUES || day.broken().isEmpty(), file + ": " + day.broken());
+                    assertTrue(day.goal() > 0.2 && day.goal() <= 1, file + " with " + p.label() + ": " + day.goal());
+                }
+            }
+        }
+    }
+
+    /** All dispatchers down at once while an association sends five times its traffic. */
+    @Test
+    void allDispatchersRestartInASurge() throws Exception {
+        String text = Files.readString(Path.of("examples/lab/alumni-hosting.toml"))
+                + "\n[[trouble]]\nkind = \"dispatcher_restart\"\nat_s = 15\nlength_s = 0.001\npart = 1\nsize = 1\n"
+                + "\n[[trouble]]\nkind = \"tenant_burst\"\nat_s = 12\nlength_s = 10\nsize = 5\n"
+                + "tenant = \"clonfert-old-boys\"\n";
+        Day day = World.play(ScenarioReader.parse("surge.toml", text), Policy.NETWORKED_QUEUES, 1);
+        assertEquals(List.of(), day.broken());
+        assertTrue(day.goal() < 0.95, "it was felt: " + day.goal());
+    }
+
+    // ---- sabotage: each rule broken on purpose is caught by its name ----
+
+    /** Changes what a brain says: steps in, steps out, with what it has been told at hand. */
+    private abstract static class Saboteur implements Brain {
+        private final Brain brain;
+        final Set<WorkerInfo> told = new HashSet<>();
+
+        Saboteur(Brain brain) {
+            this.brain = brain;
+        }
+
+        abstract List<Step> spoil(long now, List<Step> steps);
+
+        List<Step> spoilPick(long now, Request rpc, List<Step> steps) {
+            return spoil(now, steps);
+        }
+
+        @Override
+        public List<Step> pick(long now, Request rpc) {
+            return spoilPick(now, rpc, brain.pick(now, rpc));
+        }
+
+        @Override
+        public List<Step> report(long now, News news) {
+            if (news instanceof News.Resolved r) {
+                told.addAll(r.entries());
+            }
+            return spoil(now, brain.report(now, news));
+        }
+
+        @Override
+        public List<Step> tick(long now, long token) {
+            return spoil(now, brain.tick(now, token));
+        }
+    }
+
+    private static List<Broken> broken(String scenario, UnaryOperator<Brain> wrap) throws Exception {
+        return World.play(example(scenario), Policy.NETWORKED_QUEUES, 1, wrap).broken();
+    }
+
+    private static void caught(List<Broken> broken, String rule, String storyHas) {
+        Broken b = broken.stream().filter(x -> x.rule().equals(rule)).findFirst()
+                .orElseThrow(() -> new AssertionError(rule + " not caught, but " + broken));
+        assertTrue(storyHas.isEmpty() || b.toString().contains(storyHas), b.toString());
+    }
+
+    @Test
+    void answersThatAreDroppedAreCaught() throws Exception {
+        caught(broken("alumni-overload", brain -> new Saboteur(brain) {
+            @Override
+            List<Step> spoil(long now, List<Step> steps) {
+                return steps.stream().filter(s -> !(s instanceof Step.Refuse)).toList();
+            }
+        }), "lost", "taken, directory-page");
+    }
+
+    @Test
+    void answersGivenTwiceAreCaught() throws Exception {
+        caught(broken("alumni-overload", brain -> new Saboteur(brain) {
+            @Override
+            List<Step> spoil(long now, List<Step> steps) {
+                List<Step> all = new ArrayList<>(steps);
+                steps.stream().filter(Step.Refuse.class::isInstance).forEach(all::add);
+                return all;
+            }
+        }), "answers", "answered: refused");
+    }
+
+    @Test
+    void giftsSentTwiceAreCaught() throws Exception {
+        caught(broken("alumni-hosting", brain -> new Saboteur(brain) {
+            @Override
+            List<Step> spoil(long now, List<Step> steps) {
+                List<Step> all = new ArrayList<>(steps);
+                steps.stream().filter(Step.StartAttempt.class::isInstance).map(Step.StartAttempt.class::cast)
+                        .forEach(s -> told.stream().map(WorkerInfo::address).filter(a -> !a.equals(s.subchannel()))
+                                .sorted().limit(4).forEach(a -> all.add(new Step.StartAttempt(s.rpc(), a))));
+                return all;
+            }
+        }), "duplicate", "record-gift");
+    }
+
+    @Test
+    void workSentToADrainedWorkerIsCaught() throws Exception {
+        caught(broken("alumni-deploy", brain -> new Saboteur(brain) {
+            @Override
+            List<Step> spoil(long now, List<Step> steps) {
+                return steps;
+            }
+
+            @Override
+            List<Step> spoilPick(long now, Request rpc, List<Step> steps) {
+                return told.stream().filter(w -> w.state() == WorkerState.DRAINING).map(WorkerInfo::address).sorted()
+                        .findFirst().<List<Step>>map(a -> List.of(new Step.StartAttempt(rpc.id(), a))).orElse(steps);
+            }
+        }), "drain", "sent to 10.0.");
+    }
+
+    @Test
+    void aColdWorkerThatIsFloodedIsCaught() throws Exception {
+        caught(broken("alumni-deploy", brain -> new Saboteur(brain) {
+            @Override
+            List<Step> spoil(long now, List<Step> steps) {
+                return steps;
+            }
+
+            @Override
+            List<Step> spoilPick(long now, Request rpc, List<Step> steps) {
+                return told.stream().filter(w -> w.startedAt() > 0 && w.state() == WorkerState.IN_SERVICE
+                        && now - w.startedAt() < 4_000_000).map(WorkerInfo::address).sorted().findFirst()
+                        .<List<Step>>map(a -> List.of(new Step.StartAttempt(rpc.id(), a))).orElse(steps);
+            }
+        }), "cold", "falls over");
+    }
+
+    // ---- scenarios that cannot be played ----
+
+    /** Forty faulty lines are told at once, each with its file, line, key and what was expected. */
+    @Test
+    void allThatIsWrongWithAScenarioIsToldAtOnce() {
+        StringBuilder text = new StringBuilder("lenght_s = 20\n[fleet]\nworkers = \"many\"\ndispatchers = 0\n[load]\n"
+                + "share = -1\nshape = \"burst\"\n");
+        for (int i = 0; i < 35; i++) {
+            text.append("[[trouble]]\nkind = \"slow\"\nat_s = ").append(i % 2 == 0 ? "\"soon\"" : "1e9").append('\n');
+        }
+        ScenarioException e = assertThrows(ScenarioException.class, () ->
+                ScenarioReader.parse("bad.toml", text.toString()));
+        assertEquals(40, e.problems().size(), e.getMessage());
+        for (String expected : new String[] {
+            "bad.toml:1:1: lenght_s: is no key of a scenario; did you mean length_s?",
+            "bad.toml:3:1: fleet.workers: expected a whole number from 1 to 100000 (workers), got the text \"many\"",
+            "bad.toml:4:1: fleet.dispatchers: expected a whole number from 1 to 1000 (dispatchers), got 0",
+            "bad.toml:7:1: load.shape: expected one of steady, bursty, surge, got \"burst\"; did you mean bursty?",
+            "bad.toml:10:1: trouble[0].at_s: expected a number (seconds), got the text \"soon\"",
+        }) {
+            assertTrue(e.getMessage().contains(expected), expected + "\n" + e.getMessage());
+        }
+    }
+
+    @Test
+    void whatIsNoTomlIsNamedByLineAndColumn() {
+        ScenarioException e = assertThrows(ScenarioException.class, () ->
+                ScenarioReader.parse("bad.toml", "name = \"x\"\nlength_s = = 3\n"));
+        assertTrue(e.getMessage().startsWith("bad.toml:2:"), e.getMessage());
+    }
+
+    /** Figures of Student's t for 4 pairs: the half width is 3.182 standard errors. */
+    @Test
+    void pairedDifferencesSayWhatTheyCanTell() {
+        PairedDifference d = PairedDifference.of(0.1, 0.2, 0.1, 0.2);
+        assertEquals(0.15, d.mean(), 1e-12);
+        assertEquals(3.18245 * 0.0577350 / 2, d.halfWidth(), 1e-5);
+        assertEquals("better", d.verdict());
+        assertEquals("worse", PairedDifference.of(-0.1, -0.2, -0.1, -0.2).verdict());
+        assertEquals("cannot tell", PairedDifference.of(0.1, -0.1).verdict());
+        assertEquals("cannot tell", PairedDifference.of(0.5).verdict());
+    }
+}
--- a/src/test/java/saffronferry/lifecycle/CrowdTest.java
+++ b/src/test/java/saffronferry/lifecycle/CrowdTest.java
@@ -25,7 +25,7 @@
 
     private Process serve(int descriptors) throws Exception {
         config.getJSONObject("limits").put("sockets", descriptors);
-        return launch(configFile(), descriptors, "saffronferry.lifecycle.Main", "serve");
+        return launch(configFile(), descriptors, "saffronferry.cli.Main", "serve");
     }
 
     private void crowdsAgainst(int descriptors) throws Exception {
--- a/src/test/java/saffronferry/lifecycle/SocketsFixture.java
+++ b/src/test/java/saffronferry/lifecycle/SocketsFixture.java
@@ -176,7 +176,7 @@
 
     /** The program itself, in a process of its own, once it serves. */
     Process startProcess(Path file) throws Exception {
-        Process process = launch(file, 1024, "saffronferry.lifecycle.Main", "serve");
+        Process process = launch(file, 1024, "saffronferry.cli.Main", "serve");
         awaitUp();
         return process;
     }
