--- a/src/main/java/saffronferry/adapter/Instance.java
+++ b/src/main/java/saffronferry/adapter/Instance.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import saffronferry.Contract;
 import saffronferry.Dispatcher;
-import saffronferry.lifecycle.SettingsReader;
+import saffronferry.settings.SettingsReader;
 
 /** One dispatcher of the process: its module, the names in its settings, and its actions as reply lines. */
 final class Instance implements Contract.Actions {
--- a/src/main/java/saffronferry/adapter/Wire.java
+++ b/src/main/java/saffronferry/adapter/Wire.java
@@ -12,7 +12,7 @@
 import saffronferry.Contract.Request;
 import saffronferry.Contract.WorkerInfo;
 import saffronferry.Contract.WorkerState;
-import saffronferry.lifecycle.SettingsReader;
+import saffronferry.settings.SettingsReader;
 
 /** Turns the lines of the wire into events of the instances and their actions into reply lines. */
 final class Wire {
--- a/src/main/java/saffronferry/lifecycle/Config.java
+++ b/src/main/java/saffronferry/lifecycle/Config.java
@@ -9,6 +9,7 @@
 import org.json.JSONArray;
 import org.json.JSONException;
 import org.json.JSONObject;
+import saffronferry.settings.SettingsReader;
 import saffronferry.state.ListUpdate;
 import saffronferry.wire.Address;
 import saffronferry.wire.ListParser;
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -14,6 +14,7 @@
 import saffronferry.limit.AcceptGate;
 import saffronferry.limit.Descriptors;
 import saffronferry.log.BoundedLog;
+import saffronferry.settings.SettingsReader;
 import saffronferry.wire.BoundedTransport;
 import saffronferry.wire.Wire;
 
--- a/src/main/java/saffronferry/lifecycle/SettingsReader.java
+++ b/src/main/java/saffronferry/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package saffronferry.lifecycle;
+package saffronferry.settings;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/saffronferry/state/LedgerTest.java
+++ b/src/test/java/saffronferry/state/LedgerTest.java
@@ -14,7 +14,7 @@
 import saffronferry.Contract.WorkerInfo;
 import saffronferry.Contract.WorkerState;
 import saffronferry.News;
-import saffronferry.lifecycle.SettingsReader;
+import saffronferry.settings.SettingsReader;
 
 /** The ledger without sockets: one final answer whatever fails, and nothing kept of what is over. */
 public class LedgerTest {
