--- a/docs/measurements/tools/CrowdLoad.java
+++ b/docs/measurements/tools/Pressure.java
@@ -1,4 +1,5 @@
 import java.io.BufferedReader;
+import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
@@ -17,32 +18,132 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * What usual clients get while a crowd of connections presses that say nothing and come again when they are closed.
+ * A dispatcher under pressure, on one core.
  *
- * <pre>java docs/measurements/tools/CrowdLoad.java CHECKOUT DESCRIPTORS CROWD SECONDS CORE</pre>
+ * <pre>java docs/measurements/tools/Pressure.java crowd CHECKOUT DESCRIPTORS CROWD SECONDS CORE
+ * java docs/measurements/tools/Pressure.java start CHECKOUT RUNS CLIENTS CORE</pre>
  *
- * A dispatcher on one core may hold so many descriptors; 100 usual clients ask 100 times a second in all, each time
- * on a new connection, with latency counted from the intended start. CHECKOUT is a folder in which the build
- * of {@code deploy/balancer.toml} has been run.
+ * {@code crowd}: what usual clients get, 100 requests a second in all, each on a new connection and with latency
+ * counted from its intended start, while a crowd of connections presses that say nothing and come again when they
+ * are closed. {@code start}: from exec to the first served request, on half a core: the dispatcher shares its core
+ * with a busy loop, and clients try to connect from before its start, each with one request. CHECKOUT is a folder
+ * in which the build of {@code deploy/balancer.toml} has been run.
  */
-public final class CrowdLoad {
+public final class Pressure {
     private static final int PORT = 22_000;
     private static final int PER_SECOND = 100;
 
     public static void main(String[] args) throws Exception {
-        int descriptors = Integer.parseInt(args[1]);
-        int crowd = Integer.parseInt(args[2]);
-        int seconds = Integer.parseInt(args[3]);
         serve(PORT + 1, true);
         serve(PORT + 2, false);
         serve(PORT + 3, false);
-        Process process = start(Path.of(args[0]), descriptors, args[4]);
+        if (args[0].equals("start")) {
+            starts(args);
+        } else {
+            crowd(args);
+        }
+        System.exit(0);
+    }
+
+    private static void starts(String[] args) throws Exception {
+        Path checkout = Path.of(args[1]);
+        int runs = Integer.parseInt(args[2]);
+        int clients = Integer.parseInt(args[3]);
+        String core = args[4];
+        Path config = config(1024);
+        double[][] all = new double[4][runs];
+        for (int run = 0; run < runs; run++) {
+            Process spin = new ProcessBuilder("taskset", "-c", core, "sh", "-c", "while :; do :; done").start();
+            try {
+                double[] one = start(checkout, config, clients, core);
+                for (int i = 0; i < one.length; i++) {
+                    all[i][run] = one[i];
+                }
+            } finally {
+                spin.destroyForcibly();
+            }
+        }
+        String[] names = {"first served", "half served", "last served", "share served"};
+        for (int i = 0; i < names.length; i++) {
+            Arrays.sort(all[i]);
+            System.out.printf("%-13s min %.3f  median %.3f  max %.3f%n", names[i], all[i][0], all[i][runs / 2],
+                    all[i][runs - 1]);
+        }
+    }
+
+    private static double[] start(Path checkout, Path config, int clients, String core) throws Exception {
+        List<String> command = List.of("taskset", "-c", core, "java", "@deploy/serve.jvm",
+                "-XX:SharedArchiveFile=target/saffronferry.jsa", "-Djava.io.tmpdir=/tmp", "-jar",
+                "target/saffronferry.jar", "serve");
+        ProcessBuilder builder = new ProcessBuilder(command).directory(checkout.toFile())
+                .redirectErrorStream(true).redirectOutput(new File("/dev/null"));
+        builder.environment().put("BALANCER_CONFIG", config.toString());
+        CountDownLatch done = new CountDownLatch(clients);
+        double[] served = new double[clients];
+        long[] begun = {0};
+        Process[] process = {null};
+        begun[0] = System.nanoTime();
+        process[0] = builder.start();
+        for (int i = 0; i < clients; i++) {
+            int number = i;
+            Thread thread = new Thread(() -> {
+                served[number] = ask(number, begun[0]);
+                done.countDown();
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+        done.await(30, TimeUnit.SECONDS);
+        process[0].destroyForcibly().waitFor();
+        double[] times = Arrays.stream(served).filter(t -> t > 0).sorted().toArray();
+        int n = times.length;
+        return n == 0 ? new double[] {99, 99, 99, 0}
+                : new double[] {times[0], times[n / 2], times[n - 1], n / (double) clients};
+    }
+
+    /** Seconds from the start until this client had its answer; 0 if it had none within 20 s. */
+    private static double ask(int number, long begun) {
+        while (System.nanoTime() - begun < 20_000_000_000L) {
+            try (Socket s = new Socket()) {
+                s.connect(new InetSocketAddress("127.0.0.1", PORT), 2000);
+                s.setSoTimeout(6000);
+                s.getOutputStream().write(("POST /directory-page HTTP/1.1\r\nHost: h\r\nX-Txn: c" + number + "-"
+                        + System.nanoTime() + "\r\nX-Remaining-Ms: 6000\r\nContent-Length: 0\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII));
+                byte[] head = s.getInputStream().readNBytes(12);
+                if (new String(head, StandardCharsets.US_ASCII).endsWith(" 200")) {
+                    return (System.nanoTime() - begun) / 1e9;
+                }
+                Thread.sleep(100);
+            } catch (IOException e) {
+                pause();
+            } catch (InterruptedException e) {
+                return 0;
+            }
+        }
+        return 0;
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(10);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void crowd(String[] args) throws Exception {
+        int descriptors = Integer.parseInt(args[2]);
+        int crowd = Integer.parseInt(args[3]);
+        int seconds = Integer.parseInt(args[4]);
+        Process process = launch(Path.of(args[1]), descriptors, args[5]);
         try {
             while (ask("warm" + System.nanoTime(), 1000) != 200) {
                 Thread.sleep(20);
@@ -77,7 +178,6 @@
         } finally {
             process.destroyForcibly().waitFor();
         }
-        System.exit(0);
     }
 
     /** One latency for each request, in seconds from its intended start; -1 where it was not served. */
@@ -164,7 +264,7 @@
 
     private static void look(long pid, AtomicInteger held) {
         while (true) {
-            String[] names = new java.io.File("/proc/" + pid + "/fd").list();
+            String[] names = new File("/proc/" + pid + "/fd").list();
             held.accumulateAndGet(names == null ? 0 : names.length, Math::max);
             try {
                 Thread.sleep(5);
@@ -183,20 +283,24 @@
                 .map(l -> Integer.parseInt(l.replaceAll("\\D", "")) / 1024 + " MB").findFirst().orElse("?");
     }
 
-    private static Process start(Path checkout, int descriptors, String core) throws IOException {
+    private static Process launch(Path checkout, int descriptors, String core) throws IOException {
+        Path file = config(descriptors);
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptors + "; exec taskset -c " + core
+                + " java @deploy/serve.jvm -XX:SharedArchiveFile=target/saffronferry.jsa -Djava.io.tmpdir=/tmp"
+                + " -jar target/saffronferry.jar serve").directory(checkout.toFile()).redirectErrorStream(true)
+                .redirectOutput(new File("/dev/null"));
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        return builder.start();
+    }
+
+    private static Path config(int descriptors) throws IOException {
         String text = Files.readString(Path.of("examples/config.json")).replace(":9000", ":" + PORT)
                 .replace(":8500", ":" + (PORT + 1)).replace(":9101", ":" + (PORT + 2))
                 .replace(":9102", ":" + (PORT + 3)).replace(":7946", ":" + (PORT + 4))
                 .replace("\"sockets\": 1024", "\"sockets\": " + descriptors);
         Path file = Files.createTempFile("crowd", ".json");
         file.toFile().deleteOnExit();
-        Files.writeString(file, text);
-        ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptors + "; exec taskset -c " + core
-                + " java @deploy/serve.jvm -XX:SharedArchiveFile=target/saffronferry.jsa -Djava.io.tmpdir=/tmp"
-                + " -jar target/saffronferry.jar serve").directory(checkout.toFile()).redirectErrorStream(true)
-                .redirectOutput(new java.io.File("/dev/null"));
-        builder.environment().put("BALANCER_CONFIG", file.toString());
-        return builder.start();
+        return Files.writeString(file, text);
     }
 
     /** A worker with 64 slots that takes 20 ms for a job, or discovery that never changes its mind. */
--- a/src/main/java/saffronferry/cli/LabCommand.java
+++ b/src/main/java/saffronferry/cli/LabCommand.java
@@ -52,7 +52,7 @@
         Scenario scenario = read(file);
         Policy chosen = Policy.of(policy);
         List<Day> days = Lab.run(scenario, chosen, seeds(seeds), threads(threads));
-        table(Map.of(chosen, days));
+        table(Map.of(chosen.label(), days));
         save(dir, Lab.json(scenario, chosen, days).toString(1));
         return broken(days);
     }
@@ -73,7 +73,9 @@
             Policy p = Policy.of(label);
             all.put(p, Lab.run(scenario, p, seeds(seeds), threads(threads)));
         }
-        table(all);
+        Map<String, List<Day>> byLabel = new LinkedHashMap<>();
+        all.forEach((p, days) -> byLabel.put(p.label(), days));
+        table(byLabel);
         List<Policy> order = List.copyOf(all.keySet());
         out().println();
         for (Policy other : order.subList(1, order.size())) {
@@ -83,6 +85,36 @@
         return broken(all.values().stream().flatMap(List::stream).toList());
     }
 
+    @Command(name = "sweep", description = "Plays the same days with several values of one key.")
+    int sweep(@Parameters(paramLabel = "SCENARIO.toml") Path file,
+            @Option(names = "--set", required = true, paramLabel = "KEY=V1,V2,...",
+                    description = "a key as lab explain prints it, and its values") String set,
+            @Option(names = "--policy", defaultValue = "networked-queues",
+                    description = "${DEFAULT-VALUE} by default") String policy,
+            @Option(names = "--seeds", defaultValue = "1-4",
+                    description = "as 1-8 or 1,5,9 (${DEFAULT-VALUE})") String seeds,
+            @Option(names = "--threads", description = "days at once; as many as there are cores by default")
+            Integer threads) throws Exception {
+        int equals = set.indexOf('=');
+        if (equals <= 0) {
+            throw new IllegalArgumentException("--set: expected KEY=V1,V2,..., got " + set);
+        }
+        String key = set.substring(0, equals);
+        Policy chosen = Policy.of(policy);
+        Map<String, List<Day>> all = new LinkedHashMap<>();
+        for (String value : set.substring(equals + 1).split(",")) {
+            Scenario scenario;
+            try {
+                scenario = ScenarioReader.read(file, key, value);
+            } catch (ScenarioException e) {
+                throw new IllegalArgumentException("this scenario cannot be played:\n" + e.getMessage());
+            }
+            all.put(key + "=" + value, Lab.run(scenario, chosen, seeds(seeds), threads(threads)));
+        }
+        table(all);
+        return broken(all.values().stream().flatMap(List::stream).toList());
+    }
+
     @Command(name = "explain", description = "Prints every value of a scenario with its unit, defaults too.")
     int explain(@Parameters(paramLabel = "SCENARIO.toml") Path file) throws IOException {
         try {
@@ -124,12 +156,12 @@
         return given == null ? Runtime.getRuntime().availableProcessors() : Math.max(1, given);
     }
 
-    private void table(Map<Policy, List<Day>> all) {
-        out().printf(Locale.ROOT, "%-18s %5s %6s %6s %6s %6s %9s %8s %8s %9s %10s %7s%n", "policy", "days",
+    private void table(Map<String, List<Day>> all) {
+        out().printf(Locale.ROOT, "%-24s %5s %6s %6s %6s %6s %9s %8s %8s %9s %10s %7s%n", "", "days",
                 "goal",
                 "whole", "10 s", "tenant", "p99 s", "tries", "messages", "us/RPC", "events/s", "broken");
-        all.forEach((policy, days) -> out().printf(Locale.ROOT,
-                "%-18s %5d %6.3f %6.3f %6.3f %6.3f %9.3f %8.2f %8.2f %9.1f %10.0f %7d%n", policy.label(),
+        all.forEach((label, days) -> out().printf(Locale.ROOT,
+                "%-24s %5d %6.3f %6.3f %6.3f %6.3f %9.3f %8.2f %8.2f %9.1f %10.0f %7d%n", label,
                 days.size(),
                 mean(days, "goal"), mean(days, "worth_served"), mean(days, "worst_10_s"),
                 mean(days, "worst_tenant"),
--- a/src/main/java/saffronferry/lab/scenario/ScenarioReader.java
+++ b/src/main/java/saffronferry/lab/scenario/ScenarioReader.java
@@ -36,9 +36,11 @@
     private final List<Problem> problems = new ArrayList<>();
     private final List<Section.Value> values = new ArrayList<>();
     private final String file;
+    private final Map<String, Object> instead;
 
-    private ScenarioReader(String file) {
+    private ScenarioReader(String file, Map<String, Object> instead) {
         this.file = file;
+        this.instead = instead;
     }
 
     /** Reads a file. */
@@ -46,9 +48,32 @@
         return parse(path.getFileName().toString(), Files.readString(path));
     }
 
+    /**
+     * Reads a file with one value in another's place; {@code key} is a full one as {@code lab explain} prints
+     * it, {@code value} is written as in TOML.
+     */
+    public static Scenario read(Path path, String key, String value) throws IOException, ScenarioException {
+        TomlParseResult parsed = Toml.parse("value = " + value);
+        String file = path.getFileName().toString();
+        if (parsed.hasErrors()) {
+            throw new ScenarioException(List.of(new Problem(file, 0, 0, key, "no TOML value: " + value)));
+        }
+        ScenarioReader reader = new ScenarioReader(file, Map.of(key, parsed.get("value")));
+        Scenario scenario = reader.scenario(Toml.parse(Files.readString(path)));
+        List<String> keys = reader.values.stream().map(Section.Value::key).toList();
+        if (!keys.contains(key) && reader.problems.isEmpty()) {
+            reader.problems.add(new Problem(file, 0, 0, key, "is no key of this scenario"
+                    + Section.near(key, keys)));
+        }
+        if (!reader.problems.isEmpty()) {
+            throw new ScenarioException(reader.problems);
+        }
+        return scenario;
+    }
+
     /** Reads a text; {@code file} is for messages. */
     public static Scenario parse(String file, String text) throws ScenarioException {
-        ScenarioReader reader = new ScenarioReader(file);
+        ScenarioReader reader = new ScenarioReader(file, Map.of());
         Scenario scenario = reader.scenario(Toml.parse(text));
         if (!reader.problems.isEmpty()) {
             throw new ScenarioException(reader.problems);
@@ -58,7 +83,7 @@
 
     /** Each value of a file as it counts, one a line, with its unit and whether it is the default. */
     public static List<String> explain(Path path) throws IOException, ScenarioException {
-        ScenarioReader reader = new ScenarioReader(path.getFileName().toString());
+        ScenarioReader reader = new ScenarioReader(path.getFileName().toString(), Map.of());
         reader.scenario(Toml.parse(Files.readString(path)));
         if (!reader.problems.isEmpty()) {
             throw new ScenarioException(reader.problems);
@@ -75,7 +100,7 @@
         for (TomlParseError e : toml.errors()) {
             problems.add(new Problem(file, e.position().line(), e.position().column(), "", e.getMessage()));
         }
-        Section top = new Section(file, "", toml, problems, values);
+        Section top = new Section(file, "", toml, problems, values, instead);
         String name = top.text("name", file.replaceFirst("\\.toml$", ""), List.of());
         long length = micros(top.number("length_s", 50, 1, 36_000, "seconds"));
         Section fleet = top.section("fleet");
@@ -86,13 +111,13 @@
         List<Kind> kinds = new ArrayList<>();
         fleet.sections("kind").forEach(s -> kinds.add(kind(s)));
         if (kinds.isEmpty()) {
-            kinds.add(kind(new Section(file, "fleet.kind", null, problems, values)));
+            kinds.add(kind(new Section(file, "fleet.kind", null, problems, values, instead)));
         }
         fleet.done();
         List<RpcClass> classes = new ArrayList<>();
         top.sections("class").forEach(s -> classes.add(rpcClass(s)));
         if (classes.isEmpty()) {
-            classes.add(rpcClass(new Section(file, "class", null, problems, values)));
+            classes.add(rpcClass(new Section(file, "class", null, problems, values, instead)));
         }
         List<Tenant> tenants = new ArrayList<>();
         top.sections("tenant").forEach(s -> tenants.add(tenant(s)));
--- a/src/main/java/saffronferry/lab/scenario/Section.java
+++ b/src/main/java/saffronferry/lab/scenario/Section.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.apache.commons.text.similarity.LevenshteinDistance;
 import org.tomlj.TomlArray;
@@ -23,15 +24,20 @@
     private final TomlTable table;
     private final List<Problem> problems;
     private final List<Value> values;
+    private final Map<String, Object> instead;
     private final Set<String> known = new LinkedHashSet<>();
 
-    /** {@code table} null: all is missing. */
-    Section(String file, String path, TomlTable table, List<Problem> problems, List<Value> values) {
+    /**
+     * {@code table} null: all is missing. {@code instead}: values by full key that stand in for the file's.
+     */
+    Section(String file, String path, TomlTable table, List<Problem> problems, List<Value> values,
+            Map<String, Object> instead) {
         this.file = file;
         this.path = path;
         this.table = table;
         this.problems = problems;
         this.values = values;
+        this.instead = instead;
     }
 
     private String full(String key) {
@@ -46,6 +52,9 @@
 
     private Object get(String key) {
         known.add(key);
+        if (instead.containsKey(full(key))) {
+            return instead.get(full(key));
+        }
         return table == null ? null : table.get(List.of(key));
     }
 
@@ -141,7 +150,7 @@
         if (got != null && !(got instanceof TomlTable)) {
             problem(key, "expected a table [" + full(key) + "], got " + kind(got));
         }
-        return new Section(file, full(key), got instanceof TomlTable t ? t : null, problems, values);
+        return new Section(file, full(key), got instanceof TomlTable t ? t : null, problems, values, instead);
     }
 
     /** The tables of a list {@code [[key]]}. */
@@ -150,7 +159,8 @@
         List<Section> result = new ArrayList<>();
         if (got instanceof TomlArray array && array.toList().stream().allMatch(TomlTable.class::isInstance)) {
             for (int i = 0; i < array.size(); i++) {
-                result.add(new Section(file, full(key) + "[" + i + "]", array.getTable(i), problems, values));
+                result.add(new Section(file, full(key) + "[" + i + "]", array.getTable(i), problems, values,
+                        instead));
             }
         } else if (got != null) {
             problem(key, "expected tables [[" + full(key) + "]], got " + kind(got));
--- /dev/null
+++ b/src/test/java/saffronferry/BoundariesTest.java
@@ -0,0 +1,43 @@
+package saffronferry;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Who may know whom: decisions know neither sockets nor clocks, and serve loads nothing of the laboratory. */
+class BoundariesTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("saffronferry");
+
+    @Test
+    void decisionsDoNoInputOrOutput() {
+        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.lab.check",
+                "saffronferry.lab.policy").should().dependOnClassesThat().resideInAnyPackage("io..", "java.net..",
+                "java.nio..", "java.io..", "java.util.concurrent..", "java.time..").check(ALL);
+        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.lab.check",
+                "saffronferry.lab.policy").should().callMethod(System.class, "nanoTime").orShould()
+                .callMethod(System.class, "currentTimeMillis").check(ALL);
+    }
+
+    @Test
+    void theLedgerKnowsNoSocketAndTheModuleKnowsNobody() {
+        noClasses().that().resideInAPackage("saffronferry.state").should().dependOnClassesThat()
+                .resideInAnyPackage("io..", "saffronferry.wire..", "saffronferry.lifecycle..").check(ALL);
+        noClasses().that().resideInAPackage("saffronferry").should().dependOnClassesThat()
+                .resideInAPackage("saffronferry.*..").check(ALL);
+        noClasses().that().resideInAPackage("saffronferry.adapter").should().dependOnClassesThat()
+                .resideInAnyPackage("saffronferry.lifecycle..", "saffronferry.wire..").check(ALL);
+    }
+
+    @Test
+    void whatServeLoadsDependsOnNothingOfTheLaboratory() {
+        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.log",
+                "saffronferry.settings", "saffronferry.state", "saffronferry.wire", "saffronferry.lifecycle",
+                "saffronferry.adapter").should().dependOnClassesThat().resideInAnyPackage("saffronferry.lab..",
+                "saffronferry.cli..", "picocli..", "org.tomlj..", "org.HdrHistogram..", "org.apache.commons..")
+                .check(ALL);
+    }
+}
--- a/src/test/java/saffronferry/cli/MainTest.java
+++ b/src/test/java/saffronferry/cli/MainTest.java
@@ -23,6 +23,9 @@
             {2, "lab run examples/lab/alumni-hosting.toml --policy best"},
             {2, "lab run examples/lab/alumni-hosting.toml --seeds some"}, {1, "lab run " + dir.resolve("none.toml")},
             {0, "generate-completion"},
+            {0, "lab sweep examples/lab/alumni-hosting.toml --set load.share=0.2,0.3 --seeds 1"},
+            {2, "lab sweep examples/lab/alumni-hosting.toml --set load.shar=0.2"},
+            {2, "lab sweep examples/lab/alumni-hosting.toml --set load.share=much"},
         };
         for (Object[] c : cases) {
             assertEquals(c[0], Main.execute(((String) c[1]).split(" ")), (String) c[1]);
