Remove what nobody calls from the budget, the gate and the laboratory

Need: no dead code. A flag and a text that only tests read, and a list of names. No behaviour changes; the tests of limits, laboratory, command line, boundaries, ledger and bad clients pass.

--- a/src/main/java/saffronferry/lab/world/Clients.java
+++ b/src/main/java/saffronferry/lab/world/Clients.java
@@ -1,7 +1,6 @@
 package saffronferry.lab.world;
 
 import java.util.Arrays;
-import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import saffronferry.lab.scenario.Scenario;
@@ -172,8 +171,4 @@
             call.over = true;
         }
     }
-
-    static List<String> classNames(Scenario scenario) {
-        return scenario.classes().stream().map(RpcClass::name).toList();
-    }
 }
--- a/src/main/java/saffronferry/limit/AcceptGate.java
+++ b/src/main/java/saffronferry/limit/AcceptGate.java
@@ -20,7 +20,6 @@
 
     private long pause = FIRST_PAUSE;
     private int accepted;
-    private boolean failing;
     private int leaving;
     private long closedUntil = Long.MIN_VALUE;
 
@@ -35,7 +34,6 @@
 
     /** The connection entered for is here. */
     public void accepted() {
-        failing = false;
         pause = FIRST_PAUSE;
         accepted = Math.min(accepted + 1, A_STEP * MOST_A_TURN);
     }
@@ -48,7 +46,6 @@
     /** The call failed; how long to pause. */
     public long failed(long now) {
         long wait = pause;
-        failing = true;
         closedUntil = now + wait;
         pause = Math.min(LONGEST_PAUSE, 2 * pause);
         descriptors.release(Purpose.CLIENTS);
@@ -76,11 +73,6 @@
         return Math.min(MOST_A_TURN, 1 + accepted / A_STEP);
     }
 
-    /** Whether the last call failed. */
-    public boolean failing() {
-        return failing;
-    }
-
     /** Whether clients that say nothing should make room for newcomers. */
     public boolean tight() {
         return descriptors.left(Purpose.CLIENTS) + leaving < Descriptors.TIGHT;
--- a/src/main/java/saffronferry/limit/Descriptors.java
+++ b/src/main/java/saffronferry/limit/Descriptors.java
@@ -1,7 +1,6 @@
 package saffronferry.limit;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -98,9 +97,4 @@
     public int most(Purpose p) {
         return most[p.ordinal()];
     }
-
-    @Override
-    public String toString() {
-        return "taken " + Arrays.toString(used) + " of " + total;
-    }
 }
--- a/src/test/java/saffronferry/limit/LimitsTest.java
+++ b/src/test/java/saffronferry/limit/LimitsTest.java
@@ -94,10 +94,8 @@
             now += pause;
             assertTrue(gate.mayResume(now));
         }
-        assertTrue(gate.failing());
         assertTrue(gate.enter(now));
         gate.accepted();
-        assertFalse(gate.failing());
         assertTrue(gate.enter(now));
         assertEquals(10, gate.failed(now));
     }
