--- a/src/test/java/saffronferry/lifecycle/ConfigTest.java
+++ b/src/test/java/saffronferry/lifecycle/ConfigTest.java
@@ -63,4 +63,17 @@
             assertTrue(e.getMessage(), e.getMessage().contains("BALANCER_CONFIG"));
         }
     }
+
+    /** As proc(5) has it; what says no number limits nothing. */
+    @Test
+    public void theProcessLimitIsRead() {
+        String[][] cases = {
+            {"384", "Limit  Soft Limit  Hard Limit  Units\nMax open files            384       4096      files\n"},
+            {"" + Integer.MAX_VALUE, "Max open files            unlimited   unlimited   files\n"},
+            {"" + Integer.MAX_VALUE, ""},
+        };
+        for (String[] c : cases) {
+            assertEquals(c[1], Integer.parseInt(c[0]), ProcessLimits.most(c[1]));
+        }
+    }
 }
--- a/src/test/java/saffronferry/limit/LimitsTest.java
+++ b/src/test/java/saffronferry/limit/LimitsTest.java
@@ -140,6 +140,25 @@
         assertEquals(127, d.used(Purpose.CLIENTS));
     }
 
+    /** Room is told on change only: gone with the last descriptor or the system's refusal, back with either. */
+    @Test
+    void roomForAttemptsIsToldOnChangeOnly() {
+        Descriptors d = new Descriptors(256, OWN);
+        java.util.List<Boolean> told = new java.util.ArrayList<>();
+        AttemptRoom room = new AttemptRoom(d, told::add);
+        room.look(0);
+        assertTrue(told.isEmpty());
+        takeAll(d, Purpose.WORKERS);
+        room.look(0);
+        room.look(1);
+        d.release(Purpose.WORKERS);
+        room.look(2);
+        room.refused(10);
+        room.look(10 + AttemptRoom.PAUSE - 1);
+        room.look(10 + AttemptRoom.PAUSE);
+        assertEquals(java.util.List.of(false, true, false, true), told);
+    }
+
     /** Only looks on end that see the loop stand still count: a process that was stopped takes none. */
     @Test
     void aLoopHangsOnlyIfManyLooksOnEndSeeItStill() {
