Remove fields, flags and figures that nothing reads

Cause: the module was written for other deployments. Nothing read a request's hint and memory, a worker's weight, a report's free memory, the stream flag of a class, how much of a job is done, the end of a send, watching off, and the module's log line. Change: they go from the contract, both wires, the settings, the ledger and the laboratory. The constructors in tests follow.

--- a/src/main/java/saffronferry/Balancer.java
+++ b/src/main/java/saffronferry/Balancer.java
@@ -28,7 +28,7 @@
         if (news instanceof News.AttemptEnded e) {
             module.attemptEnded(now, e.rpc(), e.attempt(), e.outcome(), e.took(), e.answered(), e.load());
         } else if (news instanceof News.AttemptMoved m) {
-            module.note(now, m.rpc(), m.attempt(), m.started(), m.done());
+            module.note(now, m.rpc(), m.attempt(), m.started());
         } else if (news instanceof News.ClientGone g) {
             module.clientGone(now, g.rpc());
         } else if (news instanceof News.Probed p) {
@@ -62,7 +62,7 @@
         }
 
         @Override
-        public void send(long id, String worker, long until) {
+        public void send(long id, String worker) {
             list.add(new Step.StartAttempt(id, worker));
         }
 
@@ -97,13 +97,8 @@
         }
 
         @Override
-        public void subscribe(boolean on) {
-            list.add(new Step.Watch(on));
-        }
-
-        @Override
-        public void log(String line) {
-            list.add(new Step.Log(line));
+        public void subscribe() {
+            list.add(new Step.Watch());
         }
     }
 }
--- a/src/main/java/saffronferry/Contract.java
+++ b/src/main/java/saffronferry/Contract.java
@@ -39,7 +39,7 @@
 
     /** A class of request. Wanted within {@code aim} plus {@code stretch} times the job's running time. */
     record JobClass(String name, long aim, double stretch, long deadline, double worth, double lateWorth,
-                    Effect effect, Group group, long keyTtl, int kind, boolean stream) { }
+                    Effect effect, Group group, long keyTtl, int kind) { }
 
     /** A tenant and the requests a second, over all dispatchers, within its share; 0 = no limit known. */
     record Tenant(String name, double allowancePerS) { }
@@ -72,16 +72,15 @@
         }
     }
 
-    /** One line of the worker list. {@code startedAt} 0 = long ago; {@code weight} as the list gives it. */
-    record WorkerInfo(String address, WorkerState state, int kind, double weight, int zone, long startedAt,
-                      int cell) { }
+    /** One line of the worker list. {@code startedAt} 0 = long ago. */
+    record WorkerInfo(String address, WorkerState state, int kind, int zone, long startedAt, int cell) { }
 
-    /** A client's request. {@code hint} is the expected running time in seconds or NaN; {@code key} or -1. */
-    record Request(long id, int jobClass, int tenant, long key, long validUntil, double hint, int slots,
-                   double memory, boolean repeat) { }
+    /** A client's request; {@code key} or -1. */
+    record Request(long id, int jobClass, int tenant, long key, long validUntil, int slots,
+                   boolean repeat) { }
 
     /** A worker's own report; NaN for what it does not tell. {@code held}: requests waiting or running. */
-    record Report(double held, double queued, double freeSlots, double freeMemory) { }
+    record Report(double held, double queued, double freeSlots) { }
 
     /** Everything the module is told. */
     interface Events {
@@ -100,8 +99,8 @@
         /** The answer of a streamed class has begun: the client owns the attempt from here on. */
         void streamStarted(long now, long id, int attempt);
 
-        /** The worker says that the job has started, or else what fraction of it is done. */
-        void note(long now, long id, int attempt, boolean started, double done);
+        /** The worker says that the job has started, or else that some of it is done. */
+        void note(long now, long id, int attempt, boolean started);
 
         /** An attempt ended. {@code over}: the request has its final answer. {@code report} may be null. */
         void attemptEnded(long now, long id, int attempt, Outcome outcome, long took, boolean over,
@@ -119,8 +118,8 @@
 
     /** Everything the module may do; called only while it handles an event. */
     interface Actions {
-        /** Attempts are numbered 0, 1, 2 by these calls. {@code until} 0 = until the client leaves. */
-        void send(long id, String worker, long until);
+        /** Attempts are numbered 0, 1, 2 by these calls; each may go on until the client leaves. */
+        void send(long id, String worker);
 
         void cancel(long id, int attempt);
 
@@ -137,9 +136,7 @@
         /** At most 256 bytes to one peer. */
         void tell(int peer, byte[] bytes);
 
-        void subscribe(boolean on);
-
-        /** A line for the operators' log. */
-        void log(String line);
+        /** Ask for the list, and for its changes from then on. */
+        void subscribe();
     }
 }
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -339,7 +339,7 @@
         if (w.suspect) { w.trialAt = now + (TRIAL << Math.min(w.failedTrials++, DOUBLINGS)); }
         refresh(w);
         tellLender(w);
-        out.send(j.request.id(), w.address, 0);
+        out.send(j.request.id(), w.address);
         return true;
     }
 
@@ -648,7 +648,7 @@
         return j != null && number >= 0 && number < j.tries ? j.attempts[number] : null;
     }
 
-    @Override public void note(long clock, long id, int number, boolean started, double done) {
+    @Override public void note(long clock, long id, int number, boolean started) {
         now = clock;
         Attempt a = attempt(id, number);
         if (a != null) {
@@ -925,7 +925,7 @@
             probeTurn = random.nextInt(1 << 20);
             probeSome();
         }
-        if (s.listOnDemand()) { out.subscribe(true); }
+        if (s.listOnDemand()) { out.subscribe(); }
     }
 
     // Danger: attempts that cannot be opened end at once and use up all tries
@@ -945,7 +945,7 @@
     // ---- time ----
     @Override public void timer(long clock, long token) {
         now = clock;
-        if (token == SUBSCRIBE_TOKEN) { out.subscribe(true); }
+        if (token == SUBSCRIBE_TOKEN) { out.subscribe(); }
         if (token != TICK_TOKEN) { return; }
         double seconds = (now - lastTick) / 1e6;
         rate += (arrivals / Math.max(seconds, 1e-3) - rate) * Math.min(1, seconds / 2);
--- a/src/main/java/saffronferry/News.java
+++ b/src/main/java/saffronferry/News.java
@@ -12,8 +12,8 @@
     record AttemptEnded(long rpc, int attempt, Outcome outcome, long took, boolean answered, Report load)
             implements News { }
 
-    /** A subchannel says that the attempt's job has started, or else which part of it is done. */
-    record AttemptMoved(long rpc, int attempt, boolean started, double done) implements News { }
+    /** A subchannel says that the attempt's job has started, or else that some of it is done. */
+    record AttemptMoved(long rpc, int attempt, boolean started) implements News { }
 
     /** The client has gone away: no answer is owed any more. */
     record ClientGone(long rpc) implements News { }
--- a/src/main/java/saffronferry/Step.java
+++ b/src/main/java/saffronferry/Step.java
@@ -20,12 +20,9 @@
     /** Send at most 256 bytes to one peer. */
     record TellPeer(int peer, byte[] bytes) implements Step { }
 
-    /** Have discovery tell changes from now on, or stop that. */
-    record Watch(boolean on) implements Step { }
+    /** Have discovery tell the list, and its changes from then on. */
+    record Watch() implements Step { }
 
     /** Call {@link Balancer#tick} with the token after so many microseconds. */
     record WakeAfter(long token, long delay) implements Step { }
-
-    /** A line for the operators. */
-    record Log(String line) implements Step { }
 }
--- a/src/main/java/saffronferry/adapter/Instance.java
+++ b/src/main/java/saffronferry/adapter/Instance.java
@@ -33,14 +33,8 @@
     }
 
     @Override
-    public void send(long id, String worker, long until) {
-        LineWriter line = action("send").number(id).space().text(worker).space();
-        if (until == 0) {
-            line.text("-");
-        } else {
-            line.time(until);
-        }
-        line.end();
+    public void send(long id, String worker) {
+        action("send").number(id).space().text(worker).space().text("-").end();
     }
 
     @Override
@@ -80,12 +74,7 @@
     }
 
     @Override
-    public void subscribe(boolean on) {
-        action("watch").number(on ? 1 : 0).end();
-    }
-
-    @Override
-    public void log(String line) {
-        action("record").free(line).end();
+    public void subscribe() {
+        action("watch").number(1).end();
     }
 }
--- a/src/main/java/saffronferry/adapter/Wire.java
+++ b/src/main/java/saffronferry/adapter/Wire.java
@@ -27,7 +27,6 @@
     private static final int TABLES = 16;
     private static final int MAX_INSTANCES = 1 << 20;
     private static final int REPEAT_BIT = 2;
-    private static final int HINT_BIT = 1;
 
     /** A list of the wire; its entries are resolved once for all instances with the same names. */
     private static final class Table {
@@ -37,8 +36,8 @@
         List<String> zones;
     }
 
-    private record Row(String kind, WorkerState state, String address, double weight, String zone,
-                       long startedAt, int cell) { }
+    private record Row(String kind, WorkerState state, String address, String zone, long startedAt,
+                       int cell) { }
 
     private final LineReader in;
     private final OutputStream out;
@@ -154,11 +153,11 @@
                 throw in.malformed("field mode is unknown");
             }
             String address = in.text("worker");
-            double weight = in.absent() ? 1 : in.number("nominal");
+            in.skip(); // nominal size
             String zone = in.absent() ? "" : in.text("hall");
             long startedAt = in.absent() ? 0 : in.time("since");
             int cell = in.absent() ? 0 : (int) in.whole("block");
-            table.rows.add(new Row(kind, WorkerState.values()[mode], address, weight, zone, startedAt, cell));
+            table.rows.add(new Row(kind, WorkerState.values()[mode], address, zone, startedAt, cell));
         }
     }
 
@@ -166,7 +165,7 @@
         if (table.resolved == null || !table.kinds.equals(names.kinds) || !table.zones.equals(names.zones)) {
             List<WorkerInfo> list = new ArrayList<>(table.rows.size());
             for (Row r : table.rows) {
-                list.add(new WorkerInfo(r.address, r.state, names.kinds.indexOf(r.kind), r.weight,
+                list.add(new WorkerInfo(r.address, r.state, names.kinds.indexOf(r.kind),
                         names.zones.indexOf(r.zone), r.startedAt, r.cell));
             }
             table.resolved = List.copyOf(list);
@@ -210,12 +209,12 @@
         int tenant = in.absent() ? -1 : in.oneOf("billing", to.tenants);
         long key = in.absent() ? -1 : in.whole("subject");
         long validUntil = in.time("validUntil");
-        double hint = in.absent() ? Double.NaN : in.number("expected");
+        in.skip(); // expected work
         int slots = in.absent() ? 1 : (int) in.whole("coresNeeded");
-        double memory = in.absent() ? 0 : in.number("ramUnits");
+        in.skip(); // memory
         long bits = in.absent() ? 0 : in.whole("attrs");
-        to.module.request(now, new Request(id, jobClass, tenant, key, validUntil,
-                (bits & HINT_BIT) != 0 ? hint : Double.NaN, slots, memory, (bits & REPEAT_BIT) != 0));
+        to.module.request(now,
+                new Request(id, jobClass, tenant, key, validUntil, slots, (bits & REPEAT_BIT) != 0));
     }
 
     private Outcome outcome() {
@@ -245,18 +244,16 @@
         double held = Double.NaN;
         double queued = Double.NaN;
         double freeSlots = Double.NaN;
-        double freeMemory = Double.NaN;
         int[] fields = to.names.reportFields;
         for (int i = 0; i < fields.length && i < values.length; i++) {
             switch (fields[i]) {
                 case 0 -> held = values[i];
                 case 1 -> queued = values[i];
                 case 2 -> freeSlots = values[i];
-                case 3 -> freeMemory = values[i];
                 default -> { }
             }
         }
-        return new Report(held, queued, freeSlots, freeMemory);
+        return new Report(held, queued, freeSlots);
     }
 
     private void pong(Instance to) {
@@ -270,8 +267,7 @@
         long id = in.whole("ref");
         int attempt = (int) in.whole("try");
         in.skip();
-        boolean started = in.whole("kind") == 1;
-        to.module.note(now, id, attempt, started, in.absent() ? 0 : in.number("amount"));
+        to.module.note(now, id, attempt, in.whole("kind") == 1);
     }
 
     private void members(Instance to) {
--- a/src/main/java/saffronferry/lab/policy/TextbookBrain.java
+++ b/src/main/java/saffronferry/lab/policy/TextbookBrain.java
@@ -142,7 +142,7 @@
             resolved(r);
             if (!begun) {
                 begun = true;
-                steps.add(new Step.Watch(true));
+                steps.add(new Step.Watch());
             }
         } else if (news instanceof News.WatchLost) {
             steps.add(new Step.WakeAfter(WATCH, AGAIN));
@@ -185,6 +185,6 @@
 
     @Override
     public List<Step> tick(long now, long token) {
-        return List.of(new Step.Watch(true));
+        return List.of(new Step.Watch());
     }
 }
--- a/src/main/java/saffronferry/lab/world/Node.java
+++ b/src/main/java/saffronferry/lab/world/Node.java
@@ -133,8 +133,7 @@
             }
         });
         sim.at(rpc.validUntil + world.scenario.rules().slack() + 1, () -> checker.due(sim.now(), name));
-        Request request = new Request(id, call.rpcClass, call.tenant, call.key, rpc.validUntil, Double.NaN, 1,
-                1,
+        Request request = new Request(id, call.rpcClass, call.tenant, call.key, rpc.validUntil, 1,
                 false);
         decide(b -> b.pick(sim.now(), request));
         return true;
@@ -173,7 +172,7 @@
     void moved(long id, int attempt) {
         Rpc rpc = open.get(id);
         if (rpc != null && !rpc.attempts.get(attempt).over) {
-            decide(b -> b.report(sim.now(), new News.AttemptMoved(id, attempt, true, 0)));
+            decide(b -> b.report(sim.now(), new News.AttemptMoved(id, attempt, true)));
         }
     }
 
@@ -285,13 +284,8 @@
             probe(p.subchannel());
         } else if (step instanceof Step.TellPeer t) {
             world.tell(this, t.peer(), t.bytes());
-        } else if (step instanceof Step.Watch w) {
-            watch++;
-            if (w.on()) {
-                world.registry.watch(this, watch);
-            } else {
-                world.registry.stop(this);
-            }
+        } else if (step instanceof Step.Watch) {
+            world.registry.watch(this, ++watch);
         } else if (step instanceof Step.WakeAfter w) {
             int mine = life;
             sim.after(w.delay(), () -> {
--- a/src/main/java/saffronferry/lab/world/Worker.java
+++ b/src/main/java/saffronferry/lab/world/Worker.java
@@ -59,7 +59,7 @@
 
     WorkerInfo info() {
         WorkerState state = !up ? WorkerState.GONE : draining ? WorkerState.DRAINING : WorkerState.IN_SERVICE;
-        return new WorkerInfo(address, state, kindIndex, 1, zone, coldSince, cell);
+        return new WorkerInfo(address, state, kindIndex, zone, coldSince, cell);
     }
 
     boolean up() {
@@ -219,7 +219,7 @@
             double free = queue.isEmpty() ? kind.slots() - running.size() : 0;
             double told = Math.max(0,
                     Math.rint(free * (1 + reports.noise() * (2 * random.nextDouble() - 1))));
-            snapshot = new Report(Double.NaN, Double.NaN, told, Double.NaN);
+            snapshot = new Report(Double.NaN, Double.NaN, told);
             snapshotAt = now;
         }
     }
--- a/src/main/java/saffronferry/lab/world/World.java
+++ b/src/main/java/saffronferry/lab/world/World.java
@@ -169,8 +169,7 @@
     private Settings settings(int dispatcher, long brainSeed) {
         List<JobClass> classes = scenario.classes().stream().map(c ->
                 new JobClass(c.name(), c.aim(), c.stretch(),
-                c.deadline(), c.worth(), c.lateWorth(), c.effect(), c.group(), c.keyTtl(), -1,
-                false)).toList();
+                c.deadline(), c.worth(), c.lateWorth(), c.effect(), c.group(), c.keyTtl(), -1)).toList();
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < scenario.tenants().size(); i++) {
             tenants.add(new Tenant(scenario.tenants().get(i).name(), clients.allowance()[i]));
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -120,7 +120,7 @@
         SettingsReader s = config.settings;
         wire = new Wire(vertx, new Wire.Options(config.discovery, config.peerListen, config.peers,
                 s.settings.classes(), s.tenants, config.lists, s.fieldOf("free slots"),
-                s.fieldOf("free memory"), s.connectTimeout),
+                s.connectTimeout),
                 new Balancer(s.settings), descriptors, transport, log);
         return wire.begin(config.known).compose(v -> wire.server().listen(config.listen))
                 .compose(v -> wire.warmUp(config.listen))
--- a/src/main/java/saffronferry/settings/SettingsReader.java
+++ b/src/main/java/saffronferry/settings/SettingsReader.java
@@ -21,7 +21,7 @@
     public final List<String> tenants;
     public final List<String> kinds;
     public final List<String> zones;
-    /** For each value of a report: 0 held, 1 queued, 2 free slots, 3 free memory, -1 not used. */
+    /** For each value of a report: 0 held, 1 queued, 2 free slots, -1 not used. */
     public final int[] reportFields;
     private final JSONObject family;
     /** How long a connection may take to open, in seconds, as told; the module does not need it. */
@@ -103,7 +103,7 @@
             };
             result.add(new JobClass(p.optString("name"), micros(p, "target"), stretch, micros(p, "deadline"),
                     number(p, "points", 1), number(p, "lateValue", 0), effect, group, micros(p, "keyTtl"),
-                    kindsOf.optInt(i, -1), flag(p, "stream")));
+                    kindsOf.optInt(i, -1)));
         }
         return result;
     }
@@ -123,7 +123,6 @@
                 case "held" -> 0;
                 case "queued" -> 1;
                 case "free slots" -> 2;
-                case "free memory" -> 3;
                 default -> -1;
             };
         }
--- a/src/main/java/saffronferry/state/CallAttempt.java
+++ b/src/main/java/saffronferry/state/CallAttempt.java
@@ -7,7 +7,7 @@
 public final class CallAttempt {
     /** Who hears of attempts. */
     interface Listener {
-        void moved(CallAttempt attempt, boolean started, double done);
+        void moved(CallAttempt attempt, boolean started);
 
         void ended(CallAttempt attempt, Outcome outcome, String result, Report load);
     }
@@ -33,7 +33,7 @@
     public static CallAttempt unheard(Runnable onEnd) {
         return new CallAttempt(0, 0, 0, new Listener() {
             @Override
-            public void moved(CallAttempt attempt, boolean started, double done) { }
+            public void moved(CallAttempt attempt, boolean started) { }
 
             @Override
             public void ended(CallAttempt attempt, Outcome outcome, String result, Report load) {
@@ -48,13 +48,13 @@
 
     public void started() {
         if (!over) {
-            listener.moved(this, true, 0);
+            listener.moved(this, true);
         }
     }
 
-    public void progressed(double done) {
+    public void progressed() {
         if (!over) {
-            listener.moved(this, false, done);
+            listener.moved(this, false);
         }
     }
 
--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -67,7 +67,7 @@
         unanswered++;
         rpc.timer = ports.wake(Math.max(0, deadline - now), () -> expire(rpc));
         Request request = new Request(id, info.rpcClass(), info.tenant(), info.key(), rpc.deadline,
-                info.hint(), info.slots(), info.memory(), info.repeat());
+                info.slots(), info.repeat());
         run(() -> {
             try {
                 return balancer.pick(clock.now(), request);
@@ -148,8 +148,8 @@
     }
 
     @Override
-    public void moved(CallAttempt a, boolean started, double done) {
-        report(new News.AttemptMoved(a.rpc, a.number, started, done));
+    public void moved(CallAttempt a, boolean started) {
+        report(new News.AttemptMoved(a.rpc, a.number, started));
     }
 
     @Override
@@ -219,12 +219,10 @@
             probe(p.subchannel());
         } else if (step instanceof Step.TellPeer t) {
             ports.tell(t.peer(), t.bytes());
-        } else if (step instanceof Step.Watch w) {
-            ports.watch(w.on(), resolved.revision());
+        } else if (step instanceof Step.Watch) {
+            ports.watch(resolved.revision());
         } else if (step instanceof Step.WakeAfter w) {
             ports.wake(w.delay(), () -> tick(w.token()));
-        } else if (step instanceof Step.Log l) {
-            ports.log(l.line());
         }
     }
 
--- a/src/main/java/saffronferry/state/Ports.java
+++ b/src/main/java/saffronferry/state/Ports.java
@@ -14,8 +14,8 @@
 
     void tell(int peer, byte[] bytes);
 
-    /** Watches the list from a revision on, in place of any earlier watch; or stops watching. */
-    void watch(boolean on, long revision);
+    /** Watches the list from a revision on; a watch that is under way goes on. */
+    void watch(long revision);
 
     /** Runs something once after so many microseconds; the result is for {@link #unwake}. */
     long wake(long delay, Runnable what);
--- a/src/main/java/saffronferry/state/RpcInfo.java
+++ b/src/main/java/saffronferry/state/RpcInfo.java
@@ -5,5 +5,5 @@
  * settings, -1 for no tenant; {@code name} is the client's own id for it; {@code key} -1 for none; {@code
  * remaining}: microseconds the client will wait.
  */
-public record RpcInfo(String name, int rpcClass, int tenant, long key, long remaining, double hint, int slots,
-                      double memory, boolean repeat) { }
+public record RpcInfo(String name, int rpcClass, int tenant, long key, long remaining, int slots,
+                      boolean repeat) { }
--- a/src/main/java/saffronferry/wire/AnswerParser.java
+++ b/src/main/java/saffronferry/wire/AnswerParser.java
@@ -37,7 +37,7 @@
         }
         switch (o.optString("state")) {
             case "started" -> attempt.started();
-            case "running" -> attempt.progressed(o.optDouble("share", 0));
+            case "running" -> attempt.progressed();
             case "done" -> attempt.served(o.optString("result"), loads.parse(o.optJSONObject("load")));
             case "failed" -> attempt.ended(Outcome.ERROR, loads.parse(o.optJSONObject("load")));
             case "returned" -> attempt.ended(Outcome.FULL, loads.parse(o.optJSONObject("load")));
--- a/src/main/java/saffronferry/wire/ListParser.java
+++ b/src/main/java/saffronferry/wire/ListParser.java
@@ -53,7 +53,7 @@
             Address.parse(address);
         }
         return new ListUpdate.Entry(new WorkerInfo(e.getString("id"), state,
-                kinds.indexOf(e.optString("flavor")), e.optDouble("size", 1),
+                kinds.indexOf(e.optString("flavor")),
                 zones.indexOf(e.optString("locality")), e.optLong("up_since_ms") * 1000, e.optInt("cell")),
                 address);
     }
--- a/src/main/java/saffronferry/wire/LoadParser.java
+++ b/src/main/java/saffronferry/wire/LoadParser.java
@@ -8,12 +8,10 @@
 /** Reads load reports: {@code inflight=7,queue=2} in a header or body, or an object of a worker's line. */
 final class LoadParser {
     private final String freeSlots;
-    private final String freeMemory;
 
-    /** The names of the fields that hold free slots and free memory; null where there are none. */
-    LoadParser(String freeSlots, String freeMemory) {
+    /** The name of the field that holds free slots; null where there is none. */
+    LoadParser(String freeSlots) {
         this.freeSlots = freeSlots;
-        this.freeMemory = freeMemory;
     }
 
     /** Null if the text is null or holds no figure that is known. */
@@ -51,10 +49,8 @@
             return null;
         }
         Report r = new Report(values.getOrDefault("inflight", Double.NaN),
-                values.getOrDefault("queue", Double.NaN), values.getOrDefault(freeSlots, Double.NaN),
-                values.getOrDefault(freeMemory, Double.NaN));
-        boolean nothing = Double.isNaN(r.held()) && Double.isNaN(r.queued()) && Double.isNaN(r.freeSlots())
-                && Double.isNaN(r.freeMemory());
+                values.getOrDefault("queue", Double.NaN), values.getOrDefault(freeSlots, Double.NaN));
+        boolean nothing = Double.isNaN(r.held()) && Double.isNaN(r.queued()) && Double.isNaN(r.freeSlots());
         return nothing ? null : r;
     }
 }
--- a/src/main/java/saffronferry/wire/RpcParser.java
+++ b/src/main/java/saffronferry/wire/RpcParser.java
@@ -59,8 +59,6 @@
         }
         String org = one(headers, "X-Org");
         int slots = 1;
-        double memory = 0;
-        double hint = Double.NaN;
         String labels = one(headers, "X-Labels");
         for (String label : labels == null || labels.isBlank() ? new String[0] : labels.split(",")) {
             int at = label.indexOf('=');
@@ -70,12 +68,11 @@
             String value = label.substring(at + 1);
             switch (label.substring(0, at).trim()) {
                 case "slots" -> slots = (int) number("X-Labels slots", value, 1, MOST_SLOTS);
-                case "memory" -> memory = number("X-Labels memory", value, 0, 1e9);
                 default -> { }
             }
         }
         return new RpcInfo(name, rpcClass, org == null ? -1 : tenants.indexOf(org), key(query),
-                remaining(one(headers, "X-Remaining-Ms"), rpcClass), hint, slots, memory,
+                remaining(one(headers, "X-Remaining-Ms"), rpcClass), slots,
                 "1".equals(one(headers, "X-Resent")));
     }
 
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -22,7 +22,7 @@
 public final class Wire implements Ports<HttpMessage> {
     /** Names and figures that the speakers need. */
     public record Options(Address discovery, Address peerListen, List<Address> peers, List<JobClass> classes,
-                          List<String> tenants, ListParser lists, String freeSlots, String freeMemory,
+                          List<String> tenants, ListParser lists, String freeSlots,
                           double connectTimeout) { }
 
     private static final long WARM_UP_MS = 500;
@@ -45,7 +45,7 @@
         AttemptRoom room = new AttemptRoom(descriptors, open -> ledger.report(new News.Room(open)));
         descriptors.onFree(() -> room.look(System.nanoTime() / 1_000_000));
         subchannels = new SubchannelClient(vertx, o.connectTimeout(),
-                new LoadParser(o.freeSlots(), o.freeMemory()), descriptors, room, log);
+                new LoadParser(o.freeSlots()), descriptors, room, log);
         discovery = new DiscoveryWatch(vertx, o.discovery(), o.lists(), u -> ledger.resolved(u, false),
                 () -> ledger.report(new News.WatchLost()), descriptors, log);
         peers = new PeerSocket(vertx, o.peers(),
@@ -102,12 +102,8 @@
     }
 
     @Override
-    public void watch(boolean on, long revision) {
-        if (on) {
-            discovery.start(revision);
-        } else {
-            discovery.stop();
-        }
+    public void watch(long revision) {
+        discovery.start(revision);
     }
 
     @Override
--- a/src/test/java/saffronferry/DispatcherTest.java
+++ b/src/test/java/saffronferry/DispatcherTest.java
@@ -221,7 +221,7 @@
         plan.zones = 2;
         plan.classes = List.of(Rig.jobClass(Effect.KEYED, Group.CELL));
         Rig rig = new Rig(plan.settings()).list(Rig.worker("a"),
-                new Contract.WorkerInfo("b", WorkerState.IN_SERVICE, 0, 1, 0, 0, 9));
+                new Contract.WorkerInfo("b", WorkerState.IN_SERVICE, 0, 0, 0, 9));
         rig.ask(1, 7);
         String first = rig.workerOf(1);
         rig.answer(1, 0, Outcome.ERROR);
--- a/src/test/java/saffronferry/Rig.java
+++ b/src/test/java/saffronferry/Rig.java
@@ -62,11 +62,11 @@
     }
 
     static JobClass jobClass(Effect effect, Group group) {
-        return new JobClass("c", 300 * MS, 2, 5 * S, 1, 0.2, effect, group, 7 * S, -1, false);
+        return new JobClass("c", 300 * MS, 2, 5 * S, 1, 0.2, effect, group, 7 * S, -1);
     }
 
     static WorkerInfo worker(String address, int zone, WorkerState state, long startedAt) {
-        return new WorkerInfo(address, state, 0, 1, zone, startedAt, zone);
+        return new WorkerInfo(address, state, 0, zone, startedAt, zone);
     }
 
     static WorkerInfo worker(String address) {
@@ -87,7 +87,7 @@
     }
 
     void ask(long id, int jobClass, int tenant, long key, long within, boolean repeat) {
-        module.request(now, new Request(id, jobClass, tenant, key, now + within, Double.NaN, 1, 0, repeat));
+        module.request(now, new Request(id, jobClass, tenant, key, now + within, 1, repeat));
     }
 
     void answer(long id, int attempt, Outcome outcome) {
@@ -101,7 +101,7 @@
 
     /** Tells the module of a worker's load: free slots and nothing waiting. */
     void report(String worker, int freeSlots) {
-        module.probed(now, worker, Outcome.OK, new Report(Double.NaN, 0, freeSlots, Double.NaN));
+        module.probed(now, worker, Outcome.OK, new Report(Double.NaN, 0, freeSlots));
     }
 
     /** Lets the clock run and delivers timers on the way. */
@@ -130,7 +130,7 @@
     }
 
     @Override
-    public void send(long id, String worker, long until) {
+    public void send(long id, String worker) {
         int attempt = tries.merge(id, 1, Integer::sum) - 1;
         sends.add(new Send(id, attempt, worker, now));
         note("send " + id + " " + worker);
@@ -157,7 +157,7 @@
         if (before != null) {
             throw new AssertionError("request " + id + " ended twice: " + before + ", " + how);
         }
-        log(how + " " + id);
+        note("log " + how + " " + id);
     }
 
     @Override
@@ -178,12 +178,7 @@
     }
 
     @Override
-    public void subscribe(boolean on) {
+    public void subscribe() {
         subscriptions++;
     }
-
-    @Override
-    public void log(String line) {
-        note("log " + line);
-    }
 }
--- a/src/test/java/saffronferry/RulesFuzzTest.java
+++ b/src/test/java/saffronferry/RulesFuzzTest.java
@@ -65,7 +65,7 @@
             WorkerInfo old = listed.get(address);
             int zone = old == null ? dice.nextInt(plan.zones) : old.zone();
             int cell = old == null ? 10 * zone + dice.nextInt(2) : old.cell();
-            WorkerInfo w = new WorkerInfo(address, state, 0, 1, zone, startedAt, cell);
+            WorkerInfo w = new WorkerInfo(address, state, 0, zone, startedAt, cell);
             listed.put(address, w);
             if (state == WorkerState.IN_SERVICE) {
                 unusableSince.remove(address);
@@ -97,8 +97,8 @@
             int what = dice.nextInt(100);
             if (what < 45) {
                 long within = dice.nextInt(8) == 0 ? 1 + dice.nextLong(100_000) : 5_000_000;
-                Request q = new Request(nextId++, dice.nextInt(3), -1, dice.nextInt(20), rig.now + within, Double.NaN,
-                        1, 0, dice.nextInt(5) == 0);
+                Request q = new Request(nextId++, dice.nextInt(3), -1, dice.nextInt(20), rig.now + within, 1,
+                        dice.nextInt(5) == 0);
                 asked.put(q.id(), q);
                 rig.module.request(rig.now, q);
             } else if (what < 85 && !out.isEmpty()) {
@@ -121,7 +121,7 @@
                 rig.report("w" + dice.nextInt(14), dice.nextInt(5));
             } else if (what < 97 && !out.isEmpty()) {
                 Try t = out.get(dice.nextInt(out.size()));
-                rig.module.note(rig.now, t.send.id(), t.send.attempt(), dice.nextBoolean(), 0.5);
+                rig.module.note(rig.now, t.send.id(), t.send.attempt(), dice.nextBoolean());
             } else if (!asked.isEmpty()) {
                 long id = 1 + dice.nextLong(nextId - 1);
                 if (!rig.finals.containsKey(id)) {
--- a/src/test/java/saffronferry/state/AttemptProbe.java
+++ b/src/test/java/saffronferry/state/AttemptProbe.java
@@ -9,8 +9,8 @@
     public String heard = "";
 
     @Override
-    public void moved(CallAttempt a, boolean started, double done) {
-        heard += started ? "started" : done + " done";
+    public void moved(CallAttempt a, boolean started) {
+        heard += started ? "started" : "running";
     }
 
     @Override
--- a/src/test/java/saffronferry/wire/ParsersTest.java
+++ b/src/test/java/saffronferry/wire/ParsersTest.java
@@ -24,10 +24,10 @@
 public class ParsersTest {
     private static final RpcParser RPCS = new RpcParser(List.of(jobClass("page", Effect.SAFE),
             jobClass("gift", Effect.KEYED)), List.of("acme"));
-    private static final LoadParser LOADS = new LoadParser("x0", "x1");
+    private static final LoadParser LOADS = new LoadParser("x0");
 
     private static JobClass jobClass(String name, Effect effect) {
-        return new JobClass(name, 0, 0, 6_000_000, 1, 0, effect, Group.CELL, 0, -1, false);
+        return new JobClass(name, 0, 0, 6_000_000, 1, 0, effect, Group.CELL, 0, -1);
     }
 
     /** Headers as {@code name:value;name:value}. */
@@ -43,17 +43,17 @@
     @Test
     public void requestsThatAreWellFormed() throws BadRequest {
         Object[][] cases = {
-            // path, headers, class, tenant, microseconds, slots, memory, repeat
-            {"/page", "X-Txn:1;X-Lane:page;X-Org:acme;X-Remaining-Ms:480", 0, 0, 480_000L, 1, 0.0, false},
-            {"/gift", "X-Txn:a.B_3-:;X-Lane:gift;X-Remaining-Ms:0;Idempotency-Key:k", 1, -1, 0L, 1, 0.0, false},
-            {"/gift/7", "X-Txn:1;X-Remaining-Ms:5;Idempotency-Key:k", 1, -1, 5000L, 1, 0.0, false},
-            {"/page", "X-Txn:1;X-Org:who;X-Remaining-Ms:12000;X-Resent:1", 0, -1, 12_000_000L, 1, 0.0, true},
-            {"/page", "X-Txn:1;X-Remaining-Ms:5;X-Labels:slots=2,memory=1.5,z=q", 0, -1, 5000L, 2, 1.5, false},
+            // path, headers, class, tenant, microseconds, slots, repeat
+            {"/page", "X-Txn:1;X-Lane:page;X-Org:acme;X-Remaining-Ms:480", 0, 0, 480_000L, 1, false},
+            {"/gift", "X-Txn:a.B_3-:;X-Lane:gift;X-Remaining-Ms:0;Idempotency-Key:k", 1, -1, 0L, 1, false},
+            {"/gift/7", "X-Txn:1;X-Remaining-Ms:5;Idempotency-Key:k", 1, -1, 5000L, 1, false},
+            {"/page", "X-Txn:1;X-Org:who;X-Remaining-Ms:12000;X-Resent:1", 0, -1, 12_000_000L, 1, true},
+            {"/page", "X-Txn:1;X-Remaining-Ms:5;X-Labels:slots=2,memory=1.5,z=q", 0, -1, 5000L, 2, false},
         };
         for (Object[] c : cases) {
             RpcInfo r = rpc((String) c[0], null, (String) c[1]);
-            assertEquals(List.of(c).subList(2, 8), List.<Object>of(r.rpcClass(), r.tenant(), r.remaining(),
-                    r.slots(), r.memory(), r.repeat()));
+            assertEquals(List.of(c).subList(2, 7), List.<Object>of(r.rpcClass(), r.tenant(), r.remaining(),
+                    r.slots(), r.repeat()));
         }
     }
 
@@ -100,8 +100,8 @@
 
     @Test
     public void loadReports() {
-        assertEquals(new Report(7, 2, 3, 1.5), LOADS.parse("inflight=7, queue=2,x0=3,x1=1.5,util=0.6\n"));
-        assertEquals(new Report(Double.NaN, Double.NaN, 3, Double.NaN), LOADS.parse("x0=3,x1=full,x"));
+        assertEquals(new Report(7, 2, 3), LOADS.parse("inflight=7, queue=2,x0=3,x1=1.5,util=0.6\n"));
+        assertEquals(new Report(Double.NaN, Double.NaN, 3), LOADS.parse("x0=3,x1=full,x"));
         assertEquals("busy to the last slot", 0, LOADS.parse("load_share=0.9,x0=0,x1=0").freeSlots(), 0);
         for (String nothing : new String[] {"", "util=0.5", "{}", "=,=", null,
             "tps=0,load_share=0,x0=0,x1=0"}) {
@@ -124,7 +124,7 @@
             assertEquals(c[2] + " once", p.heard);
         }
         String[][] lines = {
-            {"{\"state\":\"started\"}", "started"}, {"{\"state\":\"running\",\"share\":0.4}", "0.4 done"},
+            {"{\"state\":\"started\"}", "started"}, {"{\"state\":\"running\",\"share\":0.4}", "running"},
             {"{\"state\":\"done\",\"result\":\"r\"}", "OK once r"}, {"{\"state\":\"failed\"}", "ERROR once"},
             {"{\"state\":\"returned\"}", "FULL once"}, {"{\"state\":\"lost\"}", "RESET once"},
             {"{\"state\":\"new\"}", ""}, {"{}", ""}, {"", ""},
