Remove four mechanisms that do not pay: keys, asking ahead, crossing gain, restlessness

Change: they go, with what only they read: the key of a request, the price of a crossing, the worth of what is over share. Ruled out: answering an exchange that offers nothing while P is below one.

--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -57,30 +57,11 @@
         int lender = -1;         // dispatcher that offered a slot there last
         boolean ours;            // this dispatcher fills it first
         double lately;           // slots taken, averaged over about the age of a report
-        double unrest;           // and how much they varied: their variance over that time
         int takenThen;
         long takenAt;
         int openAt = -1;
         final ArrayList<Attempt> attempts = new ArrayList<>(4);
 
-        private final long[] keys = {-1, -1, -1, -1, -1, -1};   // that ran there last
-        private int keyAt;
-
-        boolean keeps(long key) {
-            for (long k : keys) {
-                if (k == key) {
-                    return key >= 0;
-                }
-            }
-            return false;
-        }
-
-        void keep(long key) {
-            if (key >= 0 && !keeps(key)) {
-                keys[keyAt++ % keys.length] = key;
-            }
-        }
-
         Worker(String address, int kind) {
             this.address = address;
             this.kind = kind;
@@ -206,7 +187,6 @@
     static final class Peer {
         final int number;
         int zone = -1;
-        boolean owns;            // some worker of our zone
         double p = 1;
         double r = 1;
         double rate;
@@ -271,20 +251,6 @@
         }
     }
 
-    /** Remembers the keys of late, to tell whether they repeat. */
-    static final class Keys {
-        private final long[] seen = new long[1024];
-        double repeats;
-
-        void note(long key) {
-            if (key >= 0) {
-                int at = (int) ((key * 0x9E3779B97F4A7C15L) >>> 54);
-                repeats += ((seen[at] == key + 1 ? 1 : 0) - repeats) * 0.02;
-                seen[at] = key + 1;
-            }
-        }
-    }
-
     /** Jobs by request id, open addressing: no boxing, and nothing ever depends on its order. */
     static final class JobMap {
         private Job[] slots = new Job[256];
--- a/src/main/java/saffronferry/Contract.java
+++ b/src/main/java/saffronferry/Contract.java
@@ -44,14 +44,12 @@
     /** A tenant and the requests a second, over all dispatchers, within its share; 0 = no limit known. */
     record Tenant(String name, double allowancePerS) { }
 
-    /** Start-up settings of one dispatcher. {@code overShareWorth} is relative to the class's worth;
-     * {@code maxRetryAfter} 0: clients are not told when to come back. */
+    /** Settings of one dispatcher; {@code maxRetryAfter} 0: clients are not told when to come back. */
     record Settings(long seed, int self, int peers, int zone, int zones, int kinds, List<JobClass> classes,
-                    List<Tenant> tenants, double overShareWorth, int maxAttempts, boolean parallel,
+                    List<Tenant> tenants, int maxAttempts, boolean parallel,
                     boolean mayCancel, boolean mayProbe, boolean reports, boolean mayTell,
                     boolean listOnDemand, boolean tellsStart, long progressEvery, long cold, double coldShare,
-                    double fallMultiple, long maxRetryAfter, double peerPrice, double probePrice,
-                    double crossPrice) {
+                    double fallMultiple, long maxRetryAfter, double peerPrice, double probePrice) {
         public Settings {
             require(peers >= 1, "peers", peers);
             require(zone >= 0 && zone < zones, "zone", zone);
@@ -75,9 +73,8 @@
     /** One line of the worker list. {@code startedAt} 0 = long ago. */
     record WorkerInfo(String address, WorkerState state, int kind, int zone, long startedAt, int cell) { }
 
-    /** A client's request; {@code key} or -1. */
-    record Request(long id, int jobClass, int tenant, long key, long validUntil, int slots,
-                   boolean repeat) { }
+    /** A client's request. */
+    record Request(long id, int jobClass, int tenant, long validUntil, int slots, boolean repeat) { }
 
     /** A worker's own report; NaN for what it does not tell. {@code held}: requests waiting or running. */
     record Report(double held, double queued, double freeSlots) { }
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -16,13 +16,8 @@
     private static final int PERIODS_KEPT = 6; // messages get lost: a peer is silent only after these
     private static final long OFFER_LIFE = 400_000; // an offered slot stays free about that long
     private static final int OFFER_LOOKS = 16; // peers looked at for an offer, however many there are
-    private static final long ASK_EVERY = 20_000; // asking for slots: at most this often, two peers at a time
     private static final double SPILL_P = 0.9; // a spill needs a neighbour that holds next to nothing
-    private static final double LITTLE_P = 0.5; // as many held as slots: neighbours are asked, too
     private static final int SAMPLE = 4; // free workers compared for one job, however many there are
-    private static final int KEY_WALK = 24; // steps along the ring from a key's place to a free worker
-    private static final int KEY_LOOKS = 32; // held jobs looked through for a key that a worker keeps
-    private static final double KEYS_REPEAT = 0.2; // below this share of repeated keys they name nothing kept
     private static final double SUSPECT_NATS = 8; // silence this improbable (1 in 3000) makes a suspect
     private static final long START_NOTICE = 400_000; // where starts are told: silent too long
     private static final double NOTICE_NATS = 2; // how strong: the slot may not have been free
@@ -38,7 +33,6 @@
     private static final double MEAN_RATE = 0.02; // weight of a new running time, once there are many
     private static final double LATE_ROOM = 0.3; // rounds of our slots of late jobs kept; more get refused
     private static final double REPORT_AGE = 500_000; // about how old a report may be
-    private static final double RESTLESS = 8; // how little a report counts while jobs come and go there
     private static final double SLOT_SAMPLES = 10; // reports that the learned slots rest on
     private static final long PROBE_AGAIN = 150_000; // a worker that had nothing to report yet
     private static final long SETTLE = 2_000_000; // a zone not heard from by then has no dispatcher
@@ -60,16 +54,14 @@
     private final Peer[] peers;
     private final boolean[] served; // zones that have a dispatcher
     private final double[] kindSlots; // learned slots of a worker, by kind
-    private final double[] kindWeight; // and the weight of the reports they rest on
+    private final double[] kindWeight; // and how many reports they rest on
     private final double[] mean; // running time by class, lately
     private final double[] base; // and at its best
     private final int[] ended; // how many of the class we know from
     private final double[] bucket; // tokens by tenant
-    private final Keys keys = new Keys();
-    private double meanWorth = 1;
     private double p = 1, r = 1, zoneSlots, share = 1, trafficShare, rate, probeCredit;
     private int heldSlots, arrivals, homesMark, turn, probeTurn, checkTurn, subscribeFailures;
-    private long now, lastTick, bornAt, nextExchange, nextAsk, spent, offersUntil, ticks, period = MIN_PERIOD;
+    private long now, lastTick, bornAt, nextExchange, spent, offersUntil, ticks, period = MIN_PERIOD;
     private final boolean probing;
     private boolean begun, settled, mayOpen = true;
 
@@ -104,11 +96,9 @@
         JobClass spec = s.classes().get(q.jobClass());
         arrivals++;
         probeCredit = Math.min(probeCredit + PROBE_SPEND / Math.max(s.probePrice(), 1e-3), 20);
-        meanWorth += (spec.worth() - meanWorth) * 0.01;
         Job j = new Job(q, spec, now, beyondShare(q));
         jobs.put(j);
         leaving.add(j);
-        keys.note(q.key());
         if (!queuedBefore(j) && sendTo(j, choose(j))) { return; }
         p = acceptance();
         if (random.nextDouble() >= p && spill(j)) { return; }
@@ -118,7 +108,6 @@
         } else {
             hold(j, false);
             drain();
-            if (j.queue != null) { askAround(); }
         }
     }
 
@@ -143,8 +132,7 @@
 
     /** An own-zone worker of the class's kind with enough free slots, or null. */
     private Worker choose(Job j) {
-        Worker w = keysMatter() && j.request.key() >= 0 ? byKey(j) : null;
-        w = w != null ? w : freest(j);
+        Worker w = freest(j);
         return w != null ? w : offeredInZone(j);
     }
 
@@ -178,23 +166,6 @@
         return best;
     }
 
-    /** Workers keep what a key needs: walk our ring from the key's place to a free slot, a keeper first. */
-    private Worker byKey(Job j) {
-        Worker[] zone = fleet.ours;
-        if (zone.length == 0) { return null; }
-        int at = fleet.place(j.request.key()); // consistent: a change of the fleet moves few keys
-        Worker first = null;
-        for (int i = 0; i < Math.min(KEY_WALK, zone.length); i++) {
-            Worker w = zone[(at + i) % zone.length];
-            boolean keeps = w.keeps(j.request.key());
-            if (w.openAt >= 0 && (first == null || keeps) && usable(j, w)) {
-                if (keeps) { return w; }
-                first = w;
-            }
-        }
-        return first;
-    }
-
     private boolean usable(Job j, Worker w) {
         return fits(j, w) && free(w) >= j.request.slots() && maySend(j, w) && coldAllows(j, w);
     }
@@ -223,7 +194,7 @@
             if (j == null) { return; }
             Worker w = choose(j);
             if (w != null) {
-                sendTo(keptThere(j, w), w);
+                sendTo(j, w);
             } else if (j.tries > 0 || j.request.slots() > 1) {
                 j.queue.moveTo(j, queues[j.request.jobClass()][BOUND]);
             } else {
@@ -232,19 +203,6 @@
         }
     }
 
-    // Danger: after restarts every job fetches what its key needs, the store is swamped and jobs hold slots
-    // while they wait for it. Of the oldest held jobs, one whose key ran there lately goes first.
-    private Job keptThere(Job j, Worker w) {
-        Job other = j;
-        for (int i = 0; keysMatter() && other != null && i < KEY_LOOKS; i++, other = other.next) {
-            boolean asGood = w.keeps(other.request.key()) && other.request.slots() <= j.request.slots();
-            if (asGood && maySend(other, w)) { return other; }
-        }
-        return j;
-    }
-
-    private boolean keysMatter() { return keys.repeats > KEYS_REPEAT; }
-
     private boolean kindOpen(int kind) {
         for (int k = 0; k < fleet.groups(); k++) {
             if (fleet.openIn(k) > 0 && (kind < 0 || kind == k)) { return true; }
@@ -292,8 +250,6 @@
 
     /** Offers the job to a neighbour drawn with weight 1 - (1-R_y)/(1-P); false if it is turned back. */
     private boolean spill(Job j) {
-        double gain = (1 - j.spec.lateWorth()) * j.spec.worth() * (j.overShare ? s.overShareWorth() : 1);
-        if (gain <= s.crossPrice() * meanWorth) { return false; } // the crossing costs more than it can earn
         double sum = 0;
         for (Peer y : peers) { sum += weight(y); }
         double at = random.nextDouble() * sum;
@@ -334,7 +290,6 @@
         j.add(a);
         w.attempts.add(a);
         w.mine += j.request.slots();
-        w.keep(j.request.key());
         if (w.coldSince != 0) { w.coldTokens -= cost(j); }
         if (w.suspect) { w.trialAt = now + (TRIAL << Math.min(w.failedTrials++, DOUBLINGS)); }
         refresh(w);
@@ -359,10 +314,7 @@
     /** Keeps the set of workers that may have a free slot in step with what is known. */
     private void refresh(Worker w) {
         int taken = w.mine + w.others;
-        double part = 1 - Math.exp((w.takenAt - now) / REPORT_AGE);
-        double off = w.takenThen - w.lately;
-        w.lately += off * part;
-        w.unrest = (w.unrest + off * off * part) * (1 - part);
+        w.lately += (w.takenThen - w.lately) * (1 - Math.exp((w.takenAt - now) / REPORT_AGE));
         if (w.takenThen == 0 && taken > 0) { w.busySince = now; }
         w.takenThen = taken;
         w.takenAt = now;
@@ -375,20 +327,19 @@
         refresh(w);
         int k = kindIndex(w.kind);
         if (!Double.isNaN(report.held()) && !Double.isNaN(report.queued())) {
-            learnSlots(k, x0 + report.held() - report.queued(), 1);
+            learnSlots(k, x0 + report.held() - report.queued());
         } else if (w.ours) { // the one that fills a worker knows of all jobs there
             // the report is old: what it leaves out is what all of us had there lately, not what we have now
             double total = x0 - (report.queued() > 0 ? report.queued() : 0) + w.lately;
-            learnSlots(k, total, 1 / (1 + RESTLESS * w.unrest));
+            learnSlots(k, total);
         }
         refresh(w);
     }
 
-    // Danger: slots learned too low stay idle on every worker of the kind. The first reports count fully, and
-    // those from workers where jobs came and went while the report was under way count little.
-    private void learnSlots(int k, double total, double weight) {
-        kindWeight[k] = Math.min(kindWeight[k] + weight, SLOT_SAMPLES);
-        kindSlots[k] += (total - kindSlots[k]) * weight / kindWeight[k];
+    // Danger: slots learned too low stay idle on every worker of the kind. The first reports count fully.
+    private void learnSlots(int k, double total) {
+        kindWeight[k] = Math.min(kindWeight[k] + 1, SLOT_SAMPLES);
+        kindSlots[k] += (total - kindSlots[k]) / kindWeight[k];
     }
 
     private void probeSome() {
@@ -439,7 +390,7 @@
         double bytesPerS = messagesPerS * Message.MOST_BYTES;
         Message offer = offers();
         int fan = (int) Math.max(1, Math.min(peers.length, bytesPerS * MIN_PERIOD * 2 / 1e6 / offer.size()));
-        tellZone(fan, offer, false);
+        tellZone(fan, offer);
         tellNeighbours();
         period = Math.max(MIN_PERIOD, Math.min(MAX_PERIOD, (long) (spent / bytesPerS * 1e6)));
         spent = 0;
@@ -451,27 +402,18 @@
         out.tell(peer, m.bytes());
     }
 
-    /** The next so many peers of our zone, or only those that own workers. */
-    private void tellZone(int fan, Message m, boolean owners) {
+    /** The next so many peers of our zone. */
+    private void tellZone(int fan, Message m) {
         for (int i = 0; i < peers.length && fan > 0; i++) {
             turn = (turn + 1) % peers.length;
             Peer y = peers[turn];
-            if (y.number != s.self() && (owners ? y.owns : y.zone < 0 || y.zone == s.zone())) {
+            if (y.number != s.self() && (y.zone < 0 || y.zone == s.zone())) {
                 fan--;
                 tell(y.number, m);
             }
         }
     }
 
-    /** A message that offers nothing while P is below one asks: who has a free slot answers with an offer. */
-    private void askAround() {
-        if (now < nextAsk) { return; }
-        nextAsk = now + ASK_EVERY;
-        p = acceptance();
-        tellZone(2, offers(), true);
-        if (p < LITTLE_P) { tellNeighbours(); }
-    }
-
     private void tellNeighbours() {
         for (int z = 0; z < s.zones(); z++) {
             Peer y = z == s.zone() ? null : Peer.anyOf(z, peers, random.nextInt(peers.length));
@@ -519,6 +461,7 @@
         Peer y = peers[peer];
         boolean stranger = y.heard == 0;
         y.hear(m, now, MAX_PERIOD);
+        // a message that offers nothing while P is below one asks: who has a free slot answers with an offer
         boolean asks = m.type == Message.Type.OFFERS && m.entries == 0 && m.p < 1 && heldSlots == 0;
         // a stranger may just have started: let it know us too
         if (stranger || asks && fleet.anyOpen()) { tell(peer, offers()); }
@@ -900,12 +843,10 @@
 
     private void arrange() {
         fleet.closeAll();
-        for (Peer y : peers) { y.owns = false; }
         for (Worker w : fleet.byAddress.values()) {
             w.home = homeZone(w);
             w.owner = w.home == s.zone() ? homePeer(w) : -1;
             w.ours = w.owner == s.self();
-            if (w.owner >= 0) { peers[w.owner].owns = true; }
             refresh(w);
         }
         fleet.arrange(s.zone());
@@ -971,11 +912,10 @@
         out.timer(TICK_TOKEN, TICK);
     }
 
-    /** Held jobs ask on, and are drawn again when half their slack is gone. */
+    /** Held jobs are drawn again when half their slack is gone. */
     private void retryHeld() {
         for (int c = 0; c < queues.length; c++) {
             Job j = queues[c][IN_SHARE].head;
-            if (j != null) { askAround(); }
             boolean pressed = j != null && now - j.arrived > slack(c) / 2;
             if (pressed && random.nextDouble() >= acceptance()) { spill(j); }
         }
--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -108,22 +108,6 @@
         return byHash != 0 ? byHash : a.address.compareTo(b.address);
     }
 
-    /** Index in {@link #ours} of the first worker at or after the key's place in the ring of hashes. */
-    int place(long key) {
-        int hash = (int) (Book.mix((int) key, (int) (key >>> 32)) >>> 40);
-        int low = 0;
-        int high = ours.length;
-        while (low < high) {
-            int middle = (low + high) >>> 1;
-            if (ours[middle].hash < hash) {
-                low = middle + 1;
-            } else {
-                high = middle;
-            }
-        }
-        return low == ours.length ? 0 : low;
-    }
-
     Worker find(int zone, int hash) {
         Worker[] sorted = ring[zone];
         int low = 0;
--- a/src/main/java/saffronferry/adapter/Wire.java
+++ b/src/main/java/saffronferry/adapter/Wire.java
@@ -207,14 +207,14 @@
             throw in.malformed("field kind is not a class of the settings");
         }
         int tenant = in.absent() ? -1 : in.oneOf("billing", to.tenants);
-        long key = in.absent() ? -1 : in.whole("subject");
+        in.skip(); // subject
         long validUntil = in.time("validUntil");
         in.skip(); // expected work
         int slots = in.absent() ? 1 : (int) in.whole("coresNeeded");
         in.skip(); // memory
         long bits = in.absent() ? 0 : in.whole("attrs");
         to.module.request(now,
-                new Request(id, jobClass, tenant, key, validUntil, slots, (bits & REPEAT_BIT) != 0));
+                new Request(id, jobClass, tenant, validUntil, slots, (bits & REPEAT_BIT) != 0));
     }
 
     private Outcome outcome() {
--- a/src/main/java/saffronferry/lab/scenario/Scenario.java
+++ b/src/main/java/saffronferry/lab/scenario/Scenario.java
@@ -50,7 +50,7 @@
             long maxRetryAfter) { }
 
     /** What the module is told that things cost. */
-    public record Prices(double peer, double probe, double cross, double overShare) { }
+    public record Prices(double peer, double probe, double overShare) { }
 
     /** Something that goes wrong; what {@code part} and {@code size} mean depends on the kind. */
     public record Trouble(String kind, long at, long length, double part, double size, String zone,
--- a/src/main/java/saffronferry/lab/world/Node.java
+++ b/src/main/java/saffronferry/lab/world/Node.java
@@ -133,7 +133,7 @@
             }
         });
         sim.at(rpc.validUntil + world.scenario.rules().slack() + 1, () -> checker.due(sim.now(), name));
-        Request request = new Request(id, call.rpcClass, call.tenant, call.key, rpc.validUntil, 1,
+        Request request = new Request(id, call.rpcClass, call.tenant, rpc.validUntil, 1,
                 false);
         decide(b -> b.pick(sim.now(), request));
         return true;
--- a/src/main/java/saffronferry/settings/SettingsReader.java
+++ b/src/main/java/saffronferry/settings/SettingsReader.java
@@ -55,7 +55,7 @@
             }
             connectTimeout = number(limits, "connectTimeout", 0.25);
             settings = new Settings(seed, (int) number(top, "slotNo", 0), (int) number(top, "peersTotal", 1),
-                    zone, zones.size(), kinds.size(), jobClasses, realms, number(top, "overShareWorth", 1),
+                    zone, zones.size(), kinds.size(), jobClasses, realms,
                     (int) number(limits, "mostTries", 1), flag(limits, "parallelTries"),
                     flag(limits, "cancel"), flag(limits, "probes"),
                     !report.optString("how", "off").equals("off"),
@@ -63,7 +63,7 @@
                     flag(family, "tellsStart"), micros(family, "progress"),
                     micros(rules, "cold"), number(rules, "coldShare", 1), number(rules, "fallMultiple", 1),
                     flag(limits, "retryAfter") ? micros(limits, "maxRetryAfter") : 0,
-                    number(prices, "peer", 0), number(prices, "probe", 0), number(prices, "crossZone", 0));
+                    number(prices, "peer", 0), number(prices, "probe", 0));
         } catch (JSONException e) {
             throw new IllegalArgumentException(e.getMessage());
         }
--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -66,8 +66,8 @@
         names.add(rpc.name);
         unanswered++;
         rpc.timer = ports.wake(Math.max(0, deadline - now), () -> expire(rpc));
-        Request request = new Request(id, info.rpcClass(), info.tenant(), info.key(), rpc.deadline,
-                info.slots(), info.repeat());
+        Request request = new Request(id, info.rpcClass(), info.tenant(), rpc.deadline, info.slots(),
+                info.repeat());
         run(() -> {
             try {
                 return balancer.pick(clock.now(), request);
--- a/src/main/java/saffronferry/wire/RpcParser.java
+++ b/src/main/java/saffronferry/wire/RpcParser.java
@@ -8,7 +8,7 @@
 import saffronferry.Contract.JobClass;
 import saffronferry.state.RpcInfo;
 
-/** Reads what a client's headers and query say of an RPC. */
+/** Reads what a client's headers and path say of an RPC. */
 final class RpcParser {
     private static final Pattern NAME = Pattern.compile("[0-9A-Za-z._:-]{1,64}");
     private static final Pattern KEY = Pattern.compile("[!-~]{1,128}");
@@ -32,11 +32,11 @@
     }
 
     RpcInfo parse(HttpServerRequest request) throws BadRequest {
-        return parse(request.path(), request.query(), request.headers()::getAll);
+        return parse(request.path(), request.headers()::getAll);
     }
 
-    /** The query may be null, the values of a header none. */
-    RpcInfo parse(String path, String query, Function<String, List<String>> headers) throws BadRequest {
+    /** The values of a header may be none. */
+    RpcInfo parse(String path, Function<String, List<String>> headers) throws BadRequest {
         String lane = one(headers, "X-Lane");
         String place = firstPart(path);
         int rpcClass = classes.indexOf(place);
@@ -71,7 +71,7 @@
                 default -> { }
             }
         }
-        return new RpcInfo(name, rpcClass, org == null ? -1 : tenants.indexOf(org), key(query),
+        return new RpcInfo(name, rpcClass, org == null ? -1 : tenants.indexOf(org),
                 remaining(one(headers, "X-Remaining-Ms"), rpcClass), slots,
                 "1".equals(one(headers, "X-Resent")));
     }
@@ -113,18 +113,4 @@
         }
         throw new BadRequest(400, what + " must be a number from " + (long) least + " to " + (long) most);
     }
-
-    /** A key is a name; the module wants a number that is the same for the same name. */
-    private static long key(String query) {
-        for (String part : query == null ? new String[0] : query.split("&")) {
-            if (part.startsWith("obj=")) {
-                long hash = 0xcbf29ce484222325L;
-                for (int i = 4; i < part.length(); i++) {
-                    hash = (hash ^ part.charAt(i)) * 0x100000001b3L;
-                }
-                return hash >>> 11;
-            }
-        }
-        return -1;
-    }
 }
