--- a/src/main/java/saffronferry/lab/check/RuleChecker.java
+++ b/src/main/java/saffronferry/lab/check/RuleChecker.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -40,7 +41,7 @@
         final int zone;
         final int cell;
         final long sentAt;
-        boolean over;
+        boolean served;
         boolean neverRan;
 
         Attempt(String worker, int zone, int cell, long sentAt) {
@@ -78,6 +79,7 @@
     private final Map<String, Deque<Arrival>> arrivals = new HashMap<>();
     private final List<Broken> broken = new ArrayList<>();
     private int count;
+    private int judged;
 
     public RuleChecker(Scenario scenario) {
         this.scenario = scenario;
@@ -93,6 +95,11 @@
         return count;
     }
 
+    /** How many sends, answers and overdue RPCs were held against the rules: 0 proves nothing. */
+    public int judged() {
+        return judged;
+    }
+
     private void breaks(String rule, long now, int dispatcher, String what, Open o) {
         count++;
         if (broken.size() < 10) {
@@ -110,6 +117,7 @@
     /** The RPC's time and slack are over. */
     public void due(long now, Id id) {
         Open o = open.remove(id);
+        judged += o != null ? 1 : 0;
         if (o != null && !o.answered) {
             breaks("lost", now, id.dispatcher(), "RPC " + id.rpc() + " has no final answer in time", o);
         }
@@ -131,6 +139,7 @@
 
     /** The module sends an attempt. */
     public void sent(long now, Id id, String worker, int zone, int cell) {
+        judged++;
         Open o = open.get(id);
         if (o == null || o.answered) {
             breaks("lost", now, id.dispatcher(), "a send for RPC " + id.rpc() + ", which is over", o);
@@ -147,7 +156,10 @@
             breaks("tries", now, id.dispatcher(), "RPC " + id.rpc() + " has too many attempts", o);
         }
         Told t = told.getOrDefault(id.dispatcher(), Map.of()).get(worker);
-        if (t != null && t.state != WorkerState.IN_SERVICE && now > t.at + scenario.rules().drain()) {
+        if (t == null) {
+            breaks("unlisted", now, id.dispatcher(), worker + " is sent RPC " + id.rpc()
+                    + ", but no list has named it", o);
+        } else if (t.state != WorkerState.IN_SERVICE && now > t.at + scenario.rules().drain()) {
             breaks("drain", now, id.dispatcher(), worker + " is sent RPC " + id.rpc()
                     + String.format(Locale.ROOT,
                     " %.3f s after the word that it is %s", (now - t.at) / 1e6, t.state), o);
@@ -168,7 +180,7 @@
     public void ended(long now, Id id, int attempt, Outcome outcome) {
         Open o = open.get(id);
         if (o != null && attempt < o.attempts.size()) {
-            o.attempts.get(attempt).over = true;
+            o.attempts.get(attempt).served = outcome == Outcome.OK;
             o.attempts.get(attempt).neverRan = outcome.neverRan;
             o.tell(now, "attempt " + attempt + " ended: " + outcome);
         }
@@ -176,6 +188,7 @@
 
     /** The final answer: {@code refused} promises that a retry does no harm. */
     public void answered(long now, Id id, String how, boolean refused) {
+        judged++;
         Open o = open.get(id);
         if (o == null || o.answered) {
             breaks("answers", now, id.dispatcher(), "RPC " + id.rpc() + " is answered again: " + how, o);
@@ -183,6 +196,9 @@
         }
         o.tell(now, "answered: " + how);
         o.answered = true;
+        if (how.equals("served") && o.attempts.stream().noneMatch(a -> a.served)) {
+            breaks("invented", now, id.dispatcher(), "RPC " + id.rpc() + " is served, but by no worker", o);
+        }
         boolean harmless = o.doubt() == null || o.spec.effect() == Effect.SAFE
                 || o.spec.effect() == Effect.KEYED && o.spec.group() == Group.ALL;
         if (refused && !harmless) {
@@ -201,6 +217,12 @@
                         : new Told(state, now));
     }
 
+    /** A dispatcher is told a whole list: who is not in it is gone. */
+    public void toldWhole(long now, int dispatcher, Collection<String> named) {
+        List.copyOf(told.getOrDefault(dispatcher, Map.of()).keySet()).stream().filter(w -> !named.contains(w))
+                .forEach(w -> told(now, dispatcher, w, WorkerState.GONE));
+    }
+
     /**
      * Work reaches a worker that is cold and can do so much a second now; true if that makes it fall over.
      * {@code informed}: the sender has been told of its start.
--- a/src/main/java/saffronferry/lab/world/Node.java
+++ b/src/main/java/saffronferry/lab/world/Node.java
@@ -226,6 +226,7 @@
     private void learn(List<WorkerInfo> entries, ListKind kind) {
         if (kind != ListKind.CHANGES) {
             listed.clear();
+            checker.toldWhole(sim.now(), number, entries.stream().map(WorkerInfo::address).toList());
         }
         for (WorkerInfo info : entries) {
             listed.put(info.address(), info);
