--- a/src/main/java/saffronferry/lab/world/Call.java
+++ b/src/main/java/saffronferry/lab/world/Call.java
@@ -11,6 +11,7 @@
     final boolean inShare;
     final boolean honours;
     int tries;
+    int attempts;
     boolean over;
 
     Call(long arrivedAt, int rpcClass, int tenant, int zone, double work, long deadline,
--- a/src/main/java/saffronferry/lab/world/Clients.java
+++ b/src/main/java/saffronferry/lab/world/Clients.java
@@ -121,8 +121,7 @@
     }
 
     private void attempt(Call call) {
-        call.tries++;
-        world.tally.tries++;
+        world.tally.tried(call);
         Node node = world.front(call.zone, tries);
         sim.after(world.wires.toClient(), () -> {
             if (node == null || !node.take(call)) {
--- a/src/main/java/saffronferry/lab/world/Node.java
+++ b/src/main/java/saffronferry/lab/world/Node.java
@@ -323,7 +323,7 @@
         if (rpc == null) {
             return;
         }
-        world.tally.attempts++;
+        world.tally.sent(rpc.call, rpc.out > 0);
         int number = rpc.attempts.size();
         Attempt a = new Attempt(worker, sim.now());
         rpc.attempts.add(a);
--- a/src/main/java/saffronferry/lab/world/Tally.java
+++ b/src/main/java/saffronferry/lab/world/Tally.java
@@ -19,13 +19,13 @@
     private final double[][] classes;
     private final double[][] tenants; // within their share only
     private final Histogram latency = new Histogram(3_600_000_000L, 3);
+    /** By class: requests, tries, attempts, second copies; the most tries and attempts of one request. */
+    private final long[][] path;
     private long requests;
     private long inTime;
     private long late;
     private double asked;
     private double served;
-    long tries;
-    long attempts;
     long refusals;
     long failures;
     long probes;
@@ -38,6 +38,28 @@
         windows = new double[(int) (scenario.length() / WINDOW) + 1][2];
         classes = new double[scenario.classes().size()][2];
         tenants = new double[scenario.tenants().size()][2];
+        path = new long[scenario.classes().size()][6];
+    }
+
+    /** A client tries, for the first time or again. */
+    void tried(Call call) {
+        long[] p = path[call.rpcClass];
+        call.tries++;
+        p[1]++;
+        p[4] = Math.max(p[4], call.tries);
+    }
+
+    /** A dispatcher sends a call attempt; a copy if another one of the same RPC is still out. */
+    void sent(Call call, boolean copy) {
+        long[] p = path[call.rpcClass];
+        call.attempts++;
+        p[2]++;
+        p[3] += copy ? 1 : 0;
+        p[5] = Math.max(p[5], call.attempts);
+    }
+
+    private long inAll(int what) {
+        return Arrays.stream(path).mapToLong(p -> p[what]).sum();
     }
 
     private double[] window(Call call) {
@@ -54,6 +76,7 @@
 
     void asked(Call call, double worth) {
         requests++;
+        path[call.rpcClass][0]++;
         asked += worth;
         add(call, worth, 0);
     }
@@ -105,8 +128,12 @@
     /** Nothing here depends on the machine or its clock. */
     JSONObject json(long events) {
         JSONObject byClass = new JSONObject();
+        JSONObject byPath = new JSONObject();
         for (int i = 0; i < classes.length; i++) {
             byClass.put(scenario.classes().get(i).name(), round(share(classes[i])));
+            byPath.put(scenario.classes().get(i).name(), new JSONObject().put("requests", path[i][0])
+                    .put("tries", path[i][1]).put("attempts", path[i][2]).put("copies", path[i][3])
+                    .put("most_tries", path[i][4]).put("most_attempts", path[i][5]));
         }
         JSONObject byTenant = new JSONObject();
         for (int i = 0; i < tenants.length; i++) {
@@ -124,8 +151,9 @@
         return new JSONObject().put("goal", round(goal())).put("worth_served", round(whole()))
                 .put("worst_10_s", round(worstWindow())).put("worst_class", round(worst(classes)))
                 .put("worst_tenant", round(worst(tenants))).put("classes", byClass).put("tenants", byTenant)
-                .put("requests", requests).put("in_time", inTime).put("late", late).put("tries", tries)
-                .put("attempts", attempts).put("refusals", refusals).put("failures", failures)
+                .put("requests", requests).put("in_time", inTime).put("late", late)
+                .put("tries", inAll(1)).put("attempts", inAll(2)).put("path", byPath)
+                .put("refusals", refusals).put("failures", failures)
                 .put("probes", probes).put("datagrams", datagrams).put("decisions", decisions)
                 .put("events", events).put("latency_s", quantiles).put("worth_by_second", bySecond);
     }
--- a/src/test/java/saffronferry/lab/LabTest.java
+++ b/src/test/java/saffronferry/lab/LabTest.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
+import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
 import saffronferry.Contract.Request;
 import saffronferry.Contract.WorkerInfo;
@@ -72,6 +73,24 @@
         }
     }
 
+    /** Client's tries times attempts: never beyond what the rule allows one request, and far below it in all. */
+    @Test
+    void attemptsEndToEndAreBounded() throws Exception {
+        for (String name : List.of("alumni-hosting", "alumni-overload", "alumni-outage")) {
+            Scenario s = example(name);
+            int most = (1 + s.clients().retries()) * s.rules().mostTries();
+            for (long seed = 1; seed <= 4; seed++) {
+                JSONObject path = World.play(s, Policy.NETWORKED_QUEUES, seed).json().getJSONObject("path");
+                for (String c : path.keySet()) {
+                    JSONObject p = path.getJSONObject(c);
+                    assertTrue(p.getLong("requests") > 50 && p.getLong("attempts") > 50, name + p);
+                    assertTrue(p.getLong("most_attempts") <= most, name + p);
+                    assertTrue(p.getLong("attempts") <= 1.3 * p.getLong("requests"), name + p);
+                }
+            }
+        }
+    }
+
     /** All dispatchers down at once while an association sends five times its traffic. */
     @Test
     void allDispatchersRestartInASurge() throws Exception {
