Counters that stay at their ends, and classes beyond the 64th: no wrap becomes an index

Seen: with checkTurn or probeTurn at its end every tick throws ArrayIndexOutOfBounds (index -2): held jobs then wait for their deadlines. At 126 steps a tick (1,000 workers) that is after 5 days. A worker that has said full 2^31 times rests 0.1 s, not 3.2 s, then by shifts of up to 63 for ever or not at all; failedTrials and subscribeFailures likewise; ended[c] becomes a divisor of 0. A class beyond the 64th blocks another in the bit mask of drain(): its held jobs wait beside free slots. Ruled out: turn (taken modulo), ticks and ids (64 bits). At fault: checkTurn++ and probeTurn++ % n, TRIAL << failedTrials++, FULL_REST << fulls++, SUBSCRIBE_WAIT << subscribeFailures++, 1.0 / (++ended[c] + 1), 1L << class, and homes told apart by 31 * mark + 7 * number + zone, in which peers 0 and 33 are 1 and 2. Change: floorMod, counts that stay at their end, an array of flags, a mixed mark.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -59,6 +59,7 @@
     private final double[] base; // and at its best
     private final int[] ended; // how many of the class we know from
     private final double[] bucket; // tokens by tenant
+    private final boolean[] blocked; // classes for which a drain has found no slot
     private double p = 1, r = 1, zoneSlots, share = 1, trafficShare, rate, probeCredit;
     private int heldSlots, arrivals, homesMark, turn, probeTurn, checkTurn, subscribeFailures;
     private long now, lastTick, bornAt, nextExchange, spent, offersUntil, ticks, period = MIN_PERIOD;
@@ -84,6 +85,7 @@
         mean = settings.classes().stream().mapToDouble(c -> Math.max(FIRST_MEAN, c.aim())).toArray();
         base = mean.clone();
         ended = new int[mean.length];
+        blocked = new boolean[mean.length];
         bucket = new double[settings.tenants().size()];
         Arrays.fill(bucket, 1);
         trafficShare = 1.0 / settings.peers();
@@ -188,9 +190,9 @@
 
     /** Held jobs leave as slots free. */
     private void drain() {
-        long blocked = 0; // classes for which no slot was found just now
+        Arrays.fill(blocked, false);
         while (heldSlots > 0 && mayOpen) {
-            Job j = nextHeld(blocked);
+            Job j = nextHeld();
             if (j == null) { return; }
             Worker w = choose(j);
             if (w != null) {
@@ -198,7 +200,7 @@
             } else if (j.tries > 0 || j.request.slots() > 1) {
                 j.queue.moveTo(j, queues[j.request.jobClass()][BOUND]);
             } else {
-                blocked |= 1L << j.request.jobClass();
+                blocked[j.request.jobClass()] = true;
             }
         }
     }
@@ -211,7 +213,7 @@
     }
 
     /** Best rank first; in it the earliest latest start, or in overload the most worth a second. */
-    private Job nextHeld(long blocked) {
+    private Job nextHeld() {
         boolean overload = heldSlots > zoneSlots * share * 0.5;
         for (int rank = IN_SHARE; rank <= LATE; rank++) {
             Job best = null;
@@ -219,7 +221,7 @@
             for (int c = 0; c < queues.length; c++) {
                 if (rank != LATE) { retireLate(c, rank); }
                 Job j = queues[c][rank].head;
-                if (j == null || (blocked >> c & 1) != 0 || !kindOpen(j.spec.kind())) { continue; }
+                if (j == null || blocked[c] || !kindOpen(j.spec.kind())) { continue; }
                 double score = overload ? j.spec.worth() / mean[c] : -(j.arrived + (double) slack(c));
                 if (best == null || score > bestScore) {
                     best = j;
@@ -291,7 +293,7 @@
         w.attempts.add(a);
         w.mine += j.request.slots();
         if (w.coldSince != 0) { w.coldTokens -= cost(j); }
-        if (w.suspect) { w.trialAt = now + (TRIAL << Math.min(w.failedTrials++, DOUBLINGS)); }
+        if (w.suspect) { awaitTrial(w); }
         refresh(w);
         tellLender(w);
         out.send(j.request.id(), w.address);
@@ -345,7 +347,7 @@
     private void probeSome() {
         Worker[] zone = fleet.ours;
         for (int i = 0; i < 4 && probing && probeCredit >= 1 && zone.length > 0; i++) {
-            Worker w = zone[probeTurn++ % zone.length];
+            Worker w = zone[Math.floorMod(probeTurn++, zone.length)];
             if (w.state == WorkerState.IN_SERVICE && now - w.probedAt > MAX_PERIOD) {
                 w.probedAt = now;
                 probeCredit -= 1;
@@ -541,7 +543,7 @@
         Worker[] zone = fleet.ours;
         int step = Math.min(zone.length, 1 + zone.length / 8);
         for (int i = 0; i < step; i++) {
-            Worker w = zone[checkTurn++ % zone.length];
+            Worker w = zone[Math.floorMod(checkTurn++, zone.length)];
             if (w.suspect && w.attempts.isEmpty() && now >= w.trialAt) { clear(w, w.failedTrials); }
             if (!w.suspect && silence(w) > SUSPECT_NATS) { suspect(w); }
         }
@@ -550,7 +552,7 @@
     /** Danger: a hung worker takes jobs and holds its slots for ever. It leaves m; its jobs move. */
     private void suspect(Worker w) {
         w.suspect = true;
-        w.trialAt = now + (TRIAL << Math.min(w.failedTrials++, DOUBLINGS));
+        awaitTrial(w);
         refresh(w);
         for (Attempt a : new ArrayList<>(w.attempts)) {
             Job j = a.job;
@@ -566,6 +568,14 @@
         }
     }
 
+    private void awaitTrial(Worker w) {
+        w.trialAt = now + (TRIAL << Math.min(w.failedTrials, DOUBLINGS));
+        w.failedTrials = next(w.failedTrials);
+    }
+
+    /** Danger: a count that wraps turns a shift, an index or a rate into nonsense. It stays at its end. */
+    static int next(int count) { return Math.min(count, Integer.MAX_VALUE - 1) + 1; }
+
     private void sign(Worker w) {
         w.lastSign = now;
         w.resets = 0;
@@ -643,7 +653,8 @@
                 int c = a.job.request.jobClass();
                 long ran = a.startedAt > 0 ? Math.max(1, now - a.startedAt) : Math.max(1, took);
                 // danger: a first guess that lingers makes suspects of workers that run long jobs
-                double rate = Math.max(MEAN_RATE, 1.0 / (++ended[c] + 1));
+                ended[c] = next(ended[c]);
+                double rate = Math.max(MEAN_RATE, 1 / (ended[c] + 1.0));
                 mean[c] += (ran - mean[c]) * rate;
                 base[c] += (mean[c] - base[c]) * (rate > MEAN_RATE ? 1 : mean[c] < base[c] ? rate : 0.0005);
                 w.speed += (Math.min(4, ran / mean[c]) - w.speed) * 0.05;
@@ -656,7 +667,8 @@
             }
             case FULL -> {
                 // danger: a worker that drains before the list says so turns everything away
-                w.restUntil = now + (FULL_REST << Math.min(w.fulls++, FULL_DOUBLINGS));
+                w.restUntil = now + (FULL_REST << Math.min(w.fulls, FULL_DOUBLINGS));
+                w.fulls = next(w.fulls);
                 w.fullAt = now;
             }
             case CONNECT_FAILED -> broken(w, false);
@@ -832,7 +844,7 @@
         for (Peer y : peers) {
             if (y.heard > 0 && y.zone >= 0) {
                 served[y.zone] = true;
-                mark = 31 * mark + 7 * y.number + y.zone + 1;
+                mark = (int) Book.mix(mark, 1 + y.number * s.zones() + y.zone);
             }
         }
         if (mark != homesMark) {
@@ -879,7 +891,8 @@
     @Override public void workersUnavailable(long clock) {
         now = clock;
         // danger: what discovery has to tell counts as told 4 s after a change of its address
-        long wait = SUBSCRIBE_WAIT << Math.min(subscribeFailures++, 1);
+        long wait = SUBSCRIBE_WAIT << Math.min(subscribeFailures, 1);
+        subscribeFailures = next(subscribeFailures);
         out.timer(SUBSCRIBE_TOKEN, wait / 2 + random.nextLong(wait));
     }
 
--- /dev/null
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -0,0 +1,208 @@
+package saffronferry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.Field;
+import java.util.Collection;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import saffronferry.Contract.Effect;
+import saffronferry.Contract.Group;
+import saffronferry.Contract.JobClass;
+import saffronferry.Contract.Outcome;
+import saffronferry.Contract.Report;
+import saffronferry.Contract.Tenant;
+import saffronferry.Contract.WorkerInfo;
+import saffronferry.Contract.WorkerState;
+
+/** Arithmetic at its edges: counters near their ends, rates of zero, figures that are none, long silences. */
+class EdgesTest {
+    private final Rig.Plan plan = new Rig.Plan();
+    private long lastId;
+
+    private static Field field(Object of, String name) throws ReflectiveOperationException {
+        Field f = of.getClass().getDeclaredField(name);
+        f.setAccessible(true);
+        return f;
+    }
+
+    private static Object get(Object of, String name) throws ReflectiveOperationException {
+        return field(of, name).get(of);
+    }
+
+    private static Book.Worker worker(Rig rig, String address) throws ReflectiveOperationException {
+        return ((Fleet) get(rig.module, "fleet")).byAddress.get(address);
+    }
+
+    private static byte[] hello(double p, double rate) {
+        return new Message(Message.Type.OFFERS, 0, p, p, rate, 50 * Rig.MS).bytes();
+    }
+
+    // ---- counters ----
+
+    @ParameterizedTest
+    @ValueSource(strings = {"checkTurn", "probeTurn"})
+    void aTurnThatWrapsIsNoNegativeIndex(String turn) throws Exception {
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"), Rig.worker("b"), Rig.worker("c"));
+        field(rig.module, turn).setInt(rig.module, Integer.MAX_VALUE - 1);
+        traffic(rig, 20, 10 * Rig.S);
+        assertEquals(200, rig.sends.size());
+    }
+
+    /** A worker that has said full two thousand million times is still asked again after 3.2 to 4 s. */
+    @Test
+    void aWorkerThatKeepsSayingFullIsAskedAgainHoweverOftenItDid() throws Exception {
+        plan.maxAttempts = 1;
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
+        worker(rig, "a").fulls = Integer.MAX_VALUE - 2;
+        for (long id = 1; id <= 70; id++) {
+            rig.ask(id);
+            assertEquals(id, rig.sends.size(), "the worker rests until " + worker(rig, "a").restUntil + " at " + rig.now);
+            rig.answer(id, 0, Outcome.FULL);
+            long rest = worker(rig, "a").restUntil - rig.now;
+            assertTrue(rest >= 3_200 * Rig.MS && rest <= 4 * Rig.S, "rests " + rest);
+            rig.run(4 * Rig.S);
+        }
+    }
+
+    @Test
+    void aSuspectIsTriedAgainHoweverManyTrialsFailed() throws Exception {
+        plan.maxAttempts = 1;
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
+        worker(rig, "a").failedTrials = Integer.MAX_VALUE - 2;
+        for (long id = 1; id <= 70; id++) {
+            rig.ask(id);
+            assertEquals(id, rig.sends.size(), "not tried at " + rig.now);
+            rig.answer(id, 0, Outcome.CONNECT_FAILED);
+            long wait = worker(rig, "a").trialAt - rig.now;
+            assertTrue(wait >= 8 * Rig.S && wait <= 10 * Rig.S, "waits " + wait);
+            rig.run(11 * Rig.S);
+        }
+    }
+
+    @Test
+    void theListIsAskedForWithinASecondHoweverOftenThatFailed() throws Exception {
+        plan.onDemand = true;
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
+        field(rig.module, "subscribeFailures").setInt(rig.module, Integer.MAX_VALUE - 2);
+        for (int i = 0; i < 70; i++) {
+            int before = rig.subscriptions;
+            rig.module.workersUnavailable(rig.now);
+            rig.run(Rig.S);
+            assertEquals(before + 1, rig.subscriptions);
+        }
+    }
+
+    /** After two thousand million jobs of a class its running time is still learned, and a number. */
+    @Test
+    void runningTimesStayNumbersHoweverManyJobsEnded() throws Exception {
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
+        ((int[]) get(rig.module, "ended"))[0] = Integer.MAX_VALUE - 3;
+        for (long id = 1; id <= 10; id++) {
+            rig.ask(id);
+            rig.run(200 * Rig.MS);
+            rig.answer(id, 0, Outcome.OK);
+        }
+        assertTrue(((int[]) get(rig.module, "ended"))[0] > 0, "it has wrapped, and will be a divisor of 0 one day");
+        double mean = ((double[]) get(rig.module, "mean"))[0];
+        assertTrue(mean >= 200 * Rig.MS && mean <= 500 * Rig.MS, "mean " + mean);
+    }
+
+    /** A bit mask of classes holds 64: the 65th must not block the first. */
+    @Test
+    void aClassBeyondTheSixtyFourthBlocksNoOther() {
+        plan.classes = IntStream.range(0, 66).mapToObj(c -> new JobClass("c" + c, 300 * Rig.MS, 2, 5 * Rig.S, 1, 0.2,
+                Effect.SAFE, Group.ALL, 7 * Rig.S, c == 64 ? 1 : 0)).toList();
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"),
+                new WorkerInfo("b", WorkerState.IN_SERVICE, 1, 0, 0, 0));
+        rig.ask(1, 64, -1, 5 * Rig.S, false);
+        rig.answer(1, 0, Outcome.FULL); // b rests for a while: nothing is found for class 64
+        rig.ask(2, 64, -1, 5 * Rig.S, false);
+        for (long id = 3; id <= 5; id++) {
+            rig.ask(id, 0, -1, 5 * Rig.S, false);
+        }
+        assertEquals("a", rig.workerOf(4));
+        rig.answer(3, 0, Outcome.OK);
+        assertEquals("a", rig.workerOf(5));
+    }
+
+    // ---- rates, P and R ----
+
+    @Test
+    void noPairOfPAndRGivesAnythingButAWeight() {
+        double[] edges = {0, Double.MIN_VALUE, 1e-9, 1 / 510.0, 1 / 255.0, 0.5, 254 / 255.0, 1 - 1e-9, 1};
+        for (double p : edges) {
+            for (double r : edges) {
+                double w = Dispatcher.drawWeight(p, r);
+                assertTrue(w >= 0 && w <= 1, p + ", " + r + ": " + w);
+                Message m = Message.read(new Message(Message.Type.OFFERS, 0, p, r, 0, 0).bytes());
+                assertTrue(Math.abs(m.p - p) <= 1 / 255.0 && Math.abs(m.r - r) <= 1 / 510.0 + 1e-9, p + ", " + r);
+            }
+        }
+        assertEquals(1, Dispatcher.accept(0, 1));
+        assertTrue(Dispatcher.accept(Integer.MAX_VALUE, 1) > 0);
+    }
+
+    private void traffic(Rig rig, int perSecond, long span) {
+        for (long end = rig.now + span; rig.now < end; rig.run(Rig.S / perSecond)) {
+            rig.ask(++lastId);
+            if (rig.workerOf(lastId) != null) {
+                rig.answer(lastId, 0, Outcome.OK);
+            }
+        }
+    }
+
+    /** No neighbour, or one; several zones or one: time passes and jobs are served. */
+    @Test
+    void aloneOrInPairsItServes() {
+        for (int peers = 1; peers <= 2; peers++) {
+            for (int zones = 1; zones <= 3; zones++) {
+                plan.peers = peers;
+                plan.zones = zones;
+                Rig rig = new Rig(plan.settings()).list(Rig.worker("a"), Rig.worker("b"), Rig.worker("c"));
+                rig.run(5 * Rig.S);
+                rig.module.peerMessage(rig.now, peers - 1, hello(0, 0));
+                rig.run(20 * Rig.S);
+                rig.ask(1);
+                assertEquals(1, rig.sends.size());
+            }
+        }
+    }
+
+    // ---- reports that are none ----
+
+    // ---- silence, loss and what is kept of the past ----
+
+    private Rig withBorrowedSlots(int peersMessages) throws Exception {
+        plan.peers = 2;
+        WorkerInfo[] all = IntStream.range(0, 8).mapToObj(i -> Rig.worker("w" + i)).toArray(WorkerInfo[]::new);
+        Rig rig = new Rig(plan.settings()).list(all);
+        rig.module.peerMessage(rig.now, 1, hello(1, 5));
+        rig.run(100 * Rig.MS);
+        borrow(rig, 2);
+        for (int i = 0; i < peersMessages; i++) {
+            rig.run(500 * Rig.MS);
+            rig.module.peerMessage(rig.now, 1, hello(1, 5));
+        }
+        return rig;
+    }
+
+    private static void borrow(Rig rig, int slots) {
+        Message m = new Message(Message.Type.BORROWS, 0, 1, 1, 5, 50 * Rig.MS);
+        IntStream.range(0, 8).forEach(i -> m.add(new Book.Worker("w" + i, 0).hash, slots));
+        rig.module.peerMessage(rig.now, 1, m.bytes());
+    }
+
+    private static int others(Rig rig) throws Exception {
+        int sum = 0;
+        for (int i = 0; i < 8; i++) {
+            sum += worker(rig, "w" + i).others;
+        }
+        return sum;
+    }
+}
