Forget jobs that are over: they filled memory until their clients would have left

Seen: 20,000 requests served in no time leave 20,000 jobs in the queue by deadline, each for up to twice its class's deadline (50 s). At 1,000 a second that is 50,000 jobs of about 300 bytes in a heap of 64 MB, and a client chooses the deadline. Ruled out: the map of jobs and the ledger, which forget at once. At fault: Dispatcher.leaving, polled only when a deadline is near. Change: once half of it is over it is swept. Result: fewer than 200 kept in the same test.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -61,7 +61,7 @@
     private final double[] bucket; // tokens by tenant
     private final boolean[] blocked; // classes for which a drain has found no slot
     private double p = 1, r = 1, zoneSlots, share = 1, trafficShare, rate, probeCredit;
-    private int heldSlots, arrivals, homesMark, turn, probeTurn, checkTurn, subscribeFailures;
+    private int heldSlots, arrivals, homesMark, turn, probeTurn, checkTurn, subscribeFailures, goneByNow;
     private long now, lastTick, bornAt, nextExchange, spent, offersUntil, ticks, period = MIN_PERIOD;
     private final boolean probing;
     private boolean begun, settled, mayOpen = true;
@@ -702,6 +702,11 @@
     private void finish(Job j) {
         j.over = true;
         unhold(j);
+        // danger: what is over must not fill memory until its client would have left
+        if (++goneByNow > 64 + leaving.size() / 2) {
+            leaving.removeIf(x -> x.over);
+            goneByNow = 0;
+        }
         if (j.inFlight == 0) { jobs.remove(j.request.id()); }
         for (int i = 0; i < j.tries && !j.streaming; i++) { cancel(j.attempts[i]); }
     }
--- a/src/test/java/saffronferry/EdgesTest.java
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -205,4 +205,16 @@
         }
         return sum;
     }
+
+    /** What is over must not be kept until its client would have left: that is traffic times deadline. */
+    @Test
+    void jobsThatAreOverAreForgotten() throws Exception {
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
+        for (long id = 1; id <= 20_000; id++) {
+            rig.ask(id);
+            rig.answer(id, 0, Outcome.OK);
+        }
+        int kept = ((Collection<?>) get(rig.module, "leaving")).size();
+        assertTrue(kept < 200, kept + " jobs are kept, all of them over");
+    }
 }
