Ignore absurd reports: one infinite figure flooded or idled all workers of a kind

Seen: one report of Infinity or 1e18 free slots and 40 of 40 requests go to two workers of three slots; P becomes NaN. One of -Infinity or -1e18 and the kind counts as unknown. Both parsers let such figures through, and a JSON 1e999 is one. At fault: learnSlots, which averages whatever comes. Change: a total beyond 4,096 slots, or none at all, is no report. Result: 6 of 40 are sent, as without that report; four cases failed before.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -33,6 +33,7 @@
     private static final double MEAN_RATE = 0.02; // weight of a new running time, once there are many
     private static final double LATE_ROOM = 0.3; // rounds of our slots of late jobs kept; more get refused
     private static final double REPORT_AGE = 500_000; // about how old a report may be
+    private static final double MOST_SLOTS = 4096; // no worker has more: a report that says so is none
     private static final double SLOT_SAMPLES = 10; // reports that the learned slots rest on
     private static final long PROBE_AGAIN = 150_000; // a worker that had nothing to report yet
     private static final long SETTLE = 2_000_000; // a zone not heard from by then has no dispatcher
@@ -340,6 +341,8 @@
 
     // Danger: slots learned too low stay idle on every worker of the kind. The first reports count fully.
     private void learnSlots(int k, double total) {
+        // danger: one absurd figure would flood or idle all workers of the kind, an infinite one for good
+        if (!(Math.abs(total) <= MOST_SLOTS)) { return; }
         kindWeight[k] = Math.min(kindWeight[k] + 1, SLOT_SAMPLES);
         kindSlots[k] += (total - kindSlots[k]) / kindWeight[k];
     }
--- a/src/test/java/saffronferry/EdgesTest.java
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -176,6 +176,21 @@
 
     // ---- reports that are none ----
 
+    @ParameterizedTest
+    @ValueSource(doubles = {Double.POSITIVE_INFINITY, Double.NEGATIVE_INFINITY, 1e18, -1e18})
+    void anAbsurdReportFloodsAndIdlesNoWorker(double freeSlots) throws Exception {
+        for (double held : new double[] {Double.NaN, 2}) {
+            Rig rig = new Rig(plan.settings()).list(Rig.worker("a"), Rig.worker("b"));
+            rig.report("a", 3);
+            rig.module.probed(rig.now, "b", Outcome.OK, new Report(held, 0, freeSlots));
+            for (long id = 1; id <= 40; id++) {
+                rig.ask(id);
+            }
+            assertEquals(6, rig.sends.size());
+            assertFalse(Double.isNaN((double) get(rig.module, "p")));
+        }
+    }
+
     // ---- silence, loss and what is kept of the past ----
 
     private Rig withBorrowedSlots(int peersMessages) throws Exception {
