Never tell a P just below one as one: it says that jobs wait, and asks for slots

Seen: P of 0.999 (one job held beside 500 slots or more) is told as 255/255, so neighbours do not hear that it asks. At fault: Message.bytes, which rounds. Change: below one at most 254. Result: the test's cases at 0.999 and 1 - 1e-9 failed before.

--- a/src/main/java/saffronferry/Message.java
+++ b/src/main/java/saffronferry/Message.java
@@ -54,7 +54,8 @@
         byte[] b = new byte[size()];
         int coded = (int) Math.max(0, Math.min(65535, Math.round(rate * RATE_UNIT)));
         b[0] = (byte) zone;
-        b[1] = (byte) Math.round(p * 255);
+        // below one says that jobs wait, and asks: however few they are, that must not be rounded away
+        b[1] = (byte) (p < 1 ? Math.min(254, Math.round(p * 255)) : 255);
         b[2] = (byte) Math.round(r * 255);
         b[3] = (byte) (coded >> 8);
         b[4] = (byte) coded;
--- a/src/test/java/saffronferry/EdgesTest.java
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -148,6 +148,15 @@
         assertTrue(Dispatcher.accept(Integer.MAX_VALUE, 1) > 0);
     }
 
+    /** Who holds one job beside a thousand slots has a P just below one: rounded up it could not ask. */
+    @Test
+    void aPJustBelowOneStillSaysThatJobsWait() {
+        for (double p : new double[] {0.99, 0.999, 1 - 1e-9}) {
+            assertTrue(Message.read(hello(p, 1)).p < 1, "P " + p);
+        }
+        assertEquals(1, Message.read(hello(1, 1)).p);
+    }
+
     private void traffic(Rig rig, int perSecond, long span) {
         for (long end = rig.now + span; rig.now < end; rig.run(Rig.S / perSecond)) {
             rig.ask(++lastId);
