--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -464,6 +464,8 @@
             return;
         }
         Peer y = peers[peer];
+        // danger: a silence of days (one of us was stopped) must not count as the pace at which it speaks
+        if (y.heard > 0 && !fresh(y)) { y.forget(this::refresh); }
         boolean stranger = y.heard == 0;
         y.hear(m, now, MAX_PERIOD);
         // a message that offers nothing while P is below one asks: who has a free slot answers with an offer
--- a/src/test/java/saffronferry/EdgesTest.java
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -202,6 +202,24 @@
 
     // ---- silence, loss and what is kept of the past ----
 
+    /** Stopped for two days and continued, it first reads a datagram: that is no pace of two days. */
+    @Test
+    void aPeerThatDiesAfterALongStopIsForgottenSoon() {
+        plan.peers = 2;
+        WorkerInfo[] all = IntStream.range(0, 8).mapToObj(i -> Rig.worker("w" + i)).toArray(WorkerInfo[]::new);
+        Rig rig = new Rig(plan.settings()).list(all);
+        rig.module.peerMessage(rig.now, 1, hello(1, 5));
+        rig.run(3 * Rig.S);
+        rig.module.peerMessage(rig.now, 1, hello(1, 5));
+        rig.now += 172_800 * Rig.S;
+        rig.module.peerMessage(rig.now, 1, hello(1, 5)); // then it dies
+        rig.run(30 * Rig.S);
+        for (long id = 1; id <= 16; id++) {
+            rig.ask(id);
+        }
+        assertEquals(16, rig.sends.size(), "the dead one's workers stand idle");
+    }
+
     private Rig withBorrowedSlots(int peersMessages) throws Exception {
         plan.peers = 2;
         WorkerInfo[] all = IntStream.range(0, 8).mapToObj(i -> Rig.worker("w" + i)).toArray(WorkerInfo[]::new);
