Free borrowed slots whose end was told in a lost datagram, or whose worker is gone

Seen: a peer that borrows a slot says so, and once that it is free. If that datagram is lost, or comes while the list does not name the worker, the slot counts as taken for as long as the peer speaks at all: 16 of 16 slots in the tests, for good. And every worker that a peer ever used stays in its list, through all releases. Ruled out: forgetting silent peers, which does free slots, but needs silence. At fault: Book.Peer.hold and dropHolds. Change: what is not told again within the longest deadline is dropped, so is what was held at a worker that is gone, and a count of 0 leaves the list.

--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -192,8 +192,7 @@
         double rate;
         long heard;
         long gap;
-        final ArrayList<Worker> holds = new ArrayList<>(); // where it has jobs, and their slots
-        int[] counts = new int[0];
+        private final ArrayList<Hold> holds = new ArrayList<>();
         Worker[] offers = new Worker[0];
         int[] offered = new int[0];
         long offeredAt;
@@ -215,7 +214,7 @@
             heard = 0;
             rate = 0;
             offers = new Worker[0];
-            dropHolds(changed);
+            dropHolds(Long.MAX_VALUE, changed);
         }
 
         /** The first peer of the zone from a place in the list on, or null. */
@@ -230,25 +229,36 @@
         }
 
         /** Sets the slots that its jobs take at a worker. */
-        void hold(Worker w, int slots) {
-            int at = holds.indexOf(w);
-            if (at < 0) {
-                at = holds.size();
-                holds.add(w);
-                counts = at < counts.length ? counts : Arrays.copyOf(counts, 2 * at + 8);
-                counts[at] = 0;
+        void hold(Worker w, int slots, long now) {
+            int at = 0;
+            while (at < holds.size() && holds.get(at).worker != w) {
+                at++;
+            }
+            if (at < holds.size()) {
+                w.others -= holds.remove(at).slots;
+            }
+            if (slots > 0) {
+                holds.add(new Hold(w, slots, now));
+                w.others += slots;
             }
-            w.others += slots - counts[at];
-            counts[at] = slots;
         }
 
-        void dropHolds(Consumer<Worker> changed) {
-            for (int i = 0; i < holds.size(); i++) {
-                holds.get(i).others -= counts[i];
-                changed.accept(holds.get(i));
+        /**
+         * Drops what was last told so long ago. Word that a job has ended may be lost, and nobody says it
+         * again: without this the slot would count as taken for good.
+         */
+        void dropHolds(long before, Consumer<Worker> changed) {
+            for (int i = holds.size() - 1; i >= 0; i--) {
+                if (holds.get(i).told < before) {
+                    Hold dropped = holds.remove(i);
+                    dropped.worker.others -= dropped.slots;
+                    changed.accept(dropped.worker);
+                }
             }
-            holds.clear();
         }
+
+        /** Slots that its jobs take at a worker, and when it said so. */
+        private record Hold(Worker worker, int slots, long told) { }
     }
 
     /** Jobs by request id, open addressing: no boxing, and nothing ever depends on its order. */
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -38,6 +38,7 @@
     private static final long PROBE_AGAIN = 150_000; // a worker that had nothing to report yet
     private static final long SETTLE = 2_000_000; // a zone not heard from by then has no dispatcher
     private static final long SUBSCRIBE_WAIT = 300_000; // before asking for the list again; doubles once
+    private static final long NO_DEADLINE = 3_600_000_000L; // what stands for it where a class states none
     private static final long TICK_TOKEN = 1;
     private static final long SUBSCRIBE_TOKEN = 2;
     private static final int IN_SHARE = 0; // ranks of held jobs, served in this order
@@ -56,6 +57,7 @@
     private final boolean[] served; // zones that have a dispatcher
     private final double[] kindSlots; // learned slots of a worker, by kind
     private final double[] kindWeight; // and how many reports they rest on
+    private final long longest; // no job outlives it
     private final double[] mean; // running time by class, lately
     private final double[] base; // and at its best
     private final int[] ended; // how many of the class we know from
@@ -85,6 +87,9 @@
         kindWeight = new double[kindSlots.length];
         mean = settings.classes().stream().mapToDouble(c -> Math.max(FIRST_MEAN, c.aim())).toArray();
         base = mean.clone();
+        longest = settings.classes().stream()
+                .mapToLong(c -> c.deadline() > 0 ? c.deadline() : NO_DEADLINE).max()
+                .getAsLong();
         ended = new int[mean.length];
         blocked = new boolean[mean.length];
         bucket = new double[settings.tenants().size()];
@@ -482,7 +487,7 @@
             offersUntil = y.zone == s.zone() && m.entries > 0 ? now + OFFER_LIFE : offersUntil;
         } else {
             for (int i = 0; i < named.length; i++) {
-                if (named[i] != null) { y.hold(named[i], m.count[i]); refresh(named[i]); }
+                if (named[i] != null) { y.hold(named[i], m.count[i], now); refresh(named[i]); }
             }
         }
         r = 1 - (1 - p) * notAccepting();
@@ -503,6 +508,7 @@
     private void forgetSilentPeers() {
         for (Peer y : peers) {
             if (y.heard > 0 && !fresh(y)) { y.forget(this::refresh); }
+            y.dropHolds(now - longest, this::refresh);
         }
     }
 
@@ -869,6 +875,9 @@
             w.home = homeZone(w);
             w.owner = w.home == s.zone() ? homePeer(w) : -1;
             w.ours = w.owner == s.self();
+            for (int i = 0; w.others > 0 && w.state == WorkerState.GONE && i < peers.length; i++) {
+                peers[i].hold(w, 0, now); // its process took all jobs with it, and nobody will say so
+            }
             refresh(w);
         }
         fleet.arrange(s.zone());
--- a/src/test/java/saffronferry/EdgesTest.java
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -248,6 +248,34 @@
         return sum;
     }
 
+    /** The word that a borrowed slot is free again is one datagram, which may be lost. */
+    @Test
+    void aBorrowedSlotIsNotTakenForGoodWhenTheWordOfItsEndIsLost() throws Exception {
+        Rig rig = withBorrowedSlots(1);
+        assertEquals(16, others(rig));
+        rig = withBorrowedSlots(20); // 10 s; no job lives longer than 5
+        assertEquals(0, others(rig));
+    }
+
+    /** Its process took the jobs with it; the peer's word comes when the list no longer names the worker. */
+    @Test
+    void aWorkerThatIsGoneAndBackHasNoBorrowedSlots() throws Exception {
+        Rig rig = withBorrowedSlots(1);
+        for (WorkerState state : List.of(WorkerState.GONE, WorkerState.IN_SERVICE)) {
+            rig.change(IntStream.range(0, 8).mapToObj(i -> Rig.worker("w" + i, 0, state, 0)).toArray(WorkerInfo[]::new));
+        }
+        assertEquals(0, others(rig));
+    }
+
+    /** A release replaces workers by new ones, for ever: a peer's jobs of the past must not be kept. */
+    @Test
+    void jobsOfPeersAtWorkersOfThePastAreForgotten() throws Exception {
+        Rig rig = withBorrowedSlots(1);
+        borrow(rig, 0);
+        Book.Peer peer = ((Book.Peer[]) get(rig.module, "peers"))[1];
+        assertEquals(0, ((Collection<?>) get(peer, "holds")).size());
+    }
+
     /** What is over must not be kept until its client would have left: that is traffic times deadline. */
     @Test
     void jobsThatAreOverAreForgotten() throws Exception {
