Know the own rate from the first arrivals after a start, not 2 s later

Seen: beside a peer of equal traffic a dispatcher that has just started takes its share for 0.22 after 0.5 s, so most of its tenants' requests count as beyond their share; and where nobody has traffic, each of several takes the whole zone for its own. At fault: rate, averaged from 0 over 2 s; share = 1 at a rate of 0. Change: the average goes over the time since the start, up to 2 s; without traffic parts are even.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -38,6 +38,7 @@
     private static final long PROBE_AGAIN = 150_000; // a worker that had nothing to report yet
     private static final long SETTLE = 2_000_000; // a zone not heard from by then has no dispatcher
     private static final long SUBSCRIBE_WAIT = 300_000; // before asking for the list again; doubles once
+    private static final double RATE_SPAN = 2; // seconds over which our rate is averaged
     private static final long NO_DEADLINE = 3_600_000_000L; // what stands for it where a class states none
     private static final long TICK_TOKEN = 1;
     private static final long SUBSCRIBE_TOKEN = 2;
@@ -516,14 +517,16 @@
         double zone = rate;
         double all = rate;
         int heard = 1;
+        int near = 1;
         for (Peer y : peers) {
             if (y.heard > 0 && y.number != s.self()) {
                 heard++;
+                near += y.zone == s.zone() ? 1 : 0;
                 all += y.rate;
                 zone += y.zone == s.zone() ? y.rate : 0;
             }
         }
-        share = zone > 0 ? rate / zone : 1;
+        share = zone > 0 ? rate / zone : 1.0 / near; // where nobody has traffic: even parts
         trafficShare = heard * 2 > peers.length && all > 0
                 ? rate / all * heard / peers.length : 1.0 / peers.length;
         zoneSlots = 0;
@@ -921,7 +924,9 @@
         if (token == SUBSCRIBE_TOKEN) { out.subscribe(); }
         if (token != TICK_TOKEN) { return; }
         double seconds = (now - lastTick) / 1e6;
-        rate += (arrivals / Math.max(seconds, 1e-3) - rate) * Math.min(1, seconds / 2);
+        // danger: a rate that starts from nothing makes most requests after a start look beyond their share
+        double over = Math.min(RATE_SPAN, (now - bornAt) / 1e6);
+        rate += (arrivals / Math.max(seconds, 1e-3) - rate) * Math.min(1, seconds / Math.max(over, 1e-3));
         arrivals = 0;
         lastTick = now;
         fillBuckets(seconds);
--- a/src/test/java/saffronferry/EdgesTest.java
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -166,6 +166,40 @@
         }
     }
 
+    /** Own rate zero, all zero, both: shares stay numbers from 0 to 1, and one's first job is served. */
+    @Test
+    void sharesAtRatesOfZeroAreNumbers() throws Exception {
+        for (double theirs : new double[] {0, 1e-9, 30, 4_095}) {
+            plan.peers = 2;
+            plan.tenants = List.of(new Tenant("t", 5));
+            Rig rig = new Rig(plan.settings()).list(IntStream.range(0, 8).mapToObj(i -> Rig.worker("w" + i))
+                    .toArray(WorkerInfo[]::new));
+            for (int i = 0; i < 20; i++) {
+                rig.module.peerMessage(rig.now, 1, hello(1, theirs));
+                rig.run(250 * Rig.MS);
+            }
+            double share = (double) get(rig.module, "share");
+            double traffic = (double) get(rig.module, "trafficShare");
+            assertTrue(share >= 0 && share <= 1 && traffic >= 0 && traffic <= 1, theirs + ": " + share + ", " + traffic);
+            assertEquals(theirs > 0.1 ? 0 : 0.5, share, "even parts where nobody has traffic, none beside one who has");
+            rig.ask(1, 0, 0, 5 * Rig.S, false);
+            assertEquals(1, rig.sends.size());
+        }
+    }
+
+    /** A dispatcher that has just started knows its rate from its first arrivals, not 2 s later. */
+    @Test
+    void aStartDoesNotCountItsFirstRequestsAsBeyondTheirShare() throws Exception {
+        plan.peers = 2;
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"), Rig.worker("b"), Rig.worker("c"));
+        for (int i = 0; i < 4; i++) {
+            rig.module.peerMessage(rig.now, 1, hello(1, 20));
+            traffic(rig, 20, 200 * Rig.MS);
+        }
+        double share = (double) get(rig.module, "share");
+        assertTrue(share > 0.4 && share < 0.6, "equal traffic, but a share of " + share);
+    }
+
     /** No neighbour, or one; several zones or one: time passes and jobs are served. */
     @Test
     void aloneOrInPairsItServes() {
