Adopt the workers of a zone that has lost all its dispatchers

Seen: a zone counts as served for ever once one of its dispatchers was heard. When all of them are gone its workers stand idle. At fault: served[zone], set and never unset. Change: a zone not heard from for 10 s, longer than any restart, is adopted like one that never had a dispatcher, and given back as soon as one is heard. Result: the test failed before (0 sent); nothing changes during the 5 s of a restart.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -36,6 +36,7 @@
     private static final double MOST_SLOTS = 4096; // no worker has more: a report that says so is none
     private static final double SLOT_SAMPLES = 10; // reports that the learned slots rest on
     private static final long PROBE_AGAIN = 150_000; // a worker that had nothing to report yet
+    private static final long LEFT_ALONE = 10_000_000; // or one that has been silent so long
     private static final long SETTLE = 2_000_000; // a zone not heard from by then has no dispatcher
     private static final long SUBSCRIBE_WAIT = 300_000; // before asking for the list again; doubles once
     private static final double RATE_SPAN = 2; // seconds over which our rate is averaged
@@ -55,7 +56,7 @@
     private final HeldQueue[][] queues; // by class and rank
     private final PriorityQueue<Job> leaving = new PriorityQueue<>(Job.BY_DEADLINE);
     private final Peer[] peers;
-    private final boolean[] served; // zones that have a dispatcher
+    private final long[] heardIn; // when a dispatcher of the zone was heard last; 0 = never
     private final double[] kindSlots; // learned slots of a worker, by kind
     private final double[] kindWeight; // and how many reports they rest on
     private final long longest; // no job outlives it
@@ -75,8 +76,7 @@
         out = actions;
         random = new SplittableRandom(settings.seed());
         fleet = new Fleet(settings.zones(), settings.kinds());
-        served = new boolean[settings.zones()];
-        served[settings.zone()] = true;
+        heardIn = new long[settings.zones()];
         queues = new HeldQueue[settings.classes().size()][];
         for (int c = 0; c < queues.length; c++) {
             queues[c] = new HeldQueue[BOUND + 1];
@@ -474,6 +474,7 @@
         if (y.heard > 0 && !fresh(y)) { y.forget(this::refresh); }
         boolean stranger = y.heard == 0;
         y.hear(m, now, MAX_PERIOD);
+        heardIn[m.zone] = now;
         // a message that offers nothing while P is below one asks: who has a free slot answers with an offer
         boolean asks = m.type == Message.Type.OFFERS && m.entries == 0 && m.p < 1 && heldSlots == 0;
         // a stranger may just have started: let it know us too
@@ -836,12 +837,16 @@
         return moved;
     }
 
+    private boolean served(int zone) {
+        return zone == s.zone() || heardIn[zone] > 0 && now - heardIn[zone] <= LEFT_ALONE;
+    }
+
     /** Danger: nobody serves the workers of a zone without dispatchers. Another zone adopts each. */
     private int homeZone(Worker w) {
-        if (w.zone < 0 || served[w.zone] || !settled) { return w.zone; }
+        if (w.zone < 0 || served(w.zone) || !settled) { return w.zone; }
         int best = s.zone();
-        for (int z = 0; z < served.length; z++) {
-            best = served[z] && Book.mix(w.hash, z) > Book.mix(w.hash, best) ? z : best;
+        for (int z = 0; z < heardIn.length; z++) {
+            best = served(z) && Book.mix(w.hash, z) > Book.mix(w.hash, best) ? z : best;
         }
         return best;
     }
@@ -862,10 +867,10 @@
         int mark = settled ? 1 : 0;
         for (Peer y : peers) {
             if (y.heard > 0 && y.zone >= 0) {
-                served[y.zone] = true;
                 mark = (int) Book.mix(mark, 1 + y.number * s.zones() + y.zone);
             }
         }
+        for (int z = 0; z < heardIn.length; z++) { mark = (int) Book.mix(mark, served(z) ? z : ~z); }
         if (mark != homesMark) {
             homesMark = mark;
             arrange();
--- a/src/test/java/saffronferry/EdgesTest.java
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -321,4 +321,35 @@
         int kept = ((Collection<?>) get(rig.module, "leaving")).size();
         assertTrue(kept < 200, kept + " jobs are kept, all of them over");
     }
+
+    /** All dispatchers of the other zone die: its workers must not stand idle for good. */
+    @Test
+    void aZoneThatLosesItsDispatchersIsAdoptedAfterAWhile() {
+        plan.peers = 2;
+        plan.zones = 2;
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"), Rig.worker("far", 1, WorkerState.IN_SERVICE, 0));
+        byte[] hello = new Message(Message.Type.OFFERS, 1, 1, 1, 5, 50 * Rig.MS).bytes();
+        for (int i = 0; i < 6; i++) {
+            rig.module.peerMessage(rig.now, 1, hello);
+            rig.run(500 * Rig.MS);
+        }
+        for (long id = 1; id <= 4; id++) {
+            rig.ask(id);
+        }
+        assertEquals(0, rig.sentTo("far"), "it has a dispatcher of its own");
+        rig.run(5 * Rig.S);
+        assertEquals(0, rig.sentTo("far"), "a restart takes no longer than this");
+        rig.run(15 * Rig.S);
+        for (long id = 11; id <= 14; id++) {
+            rig.ask(id);
+        }
+        assertTrue(rig.sentTo("far") > 0, "nobody fills it");
+        rig.module.peerMessage(rig.now, 1, hello);
+        rig.run(500 * Rig.MS);
+        long before = rig.sentTo("far");
+        for (long id = 21; id <= 24; id++) {
+            rig.ask(id);
+        }
+        assertEquals(before, rig.sentTo("far"), "its dispatcher is back");
+    }
 }
