Answer at once a job that asks for more slots than any worker has

Seen: a client may say slots=255. Held until its deadline it counts as 255 slots waiting: P falls to 0.02, offers to peers end. At fault: request(), which holds whatever finds no slot. Change: what is more than twice the slots of every worker that could run it is refused at once.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -108,6 +108,10 @@
         Job j = new Job(q, spec, now, beyondShare(q));
         jobs.put(j);
         leaving.add(j);
+        if (q.slots() > 1 && fitsNowhere(j)) {
+            end(j);
+            return;
+        }
         if (!queuedBefore(j) && sendTo(j, choose(j))) { return; }
         p = acceptance();
         if (random.nextDouble() >= p && spill(j)) { return; }
@@ -183,6 +187,16 @@
         return (j.spec.kind() < 0 || j.spec.kind() == w.kind) && now >= w.restUntil;
     }
 
+    /** Danger: held on, a job too large for any worker would drive P to 0 and end our offers. */
+    private boolean fitsNowhere(Job j) {
+        for (Worker w : fleet.ring[s.zone()]) {
+            boolean known = kindWeight[kindIndex(w.kind)] > 0;
+            boolean fits = !known || 2 * slotsOf(w) >= j.request.slots();
+            if (fits && (j.spec.kind() < 0 || j.spec.kind() == w.kind)) { return false; }
+        }
+        return fleet.ring[s.zone()].length > 0;
+    }
+
     private void hold(Job j, boolean front) {
         queues[j.request.jobClass()][rankOf(j)].add(j, front);
         heldSlots += j.request.slots();
--- a/src/test/java/saffronferry/EdgesTest.java
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -352,4 +352,17 @@
         }
         assertEquals(before, rig.sentTo("far"), "its dispatcher is back");
     }
+
+    /** A client may say that its job takes 255 slots. */
+    @Test
+    void aJobThatFitsNoWorkerIsAnsweredAtOnceAndDrivesNoPDown() throws Exception {
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"), Rig.worker("b"));
+        rig.report("a", 4);
+        rig.module.request(rig.now, new Contract.Request(1, 0, -1, rig.now + 5 * Rig.S, 255, false));
+        rig.module.request(rig.now, new Contract.Request(2, 0, -1, rig.now + 5 * Rig.S, 3, false));
+        rig.run(50 * Rig.MS);
+        assertEquals("refused", rig.finals.get(1L));
+        assertEquals(1, rig.sends.size(), "one that fits is served");
+        assertEquals(1.0, (double) get(rig.module, "p"));
+    }
 }
