Spread exchanges, probes, trials, rests and told delays: fleets kept step

Seen, 60 dispatchers from one instant, slots of 25 ms, variance over mean (1 is chance): exchanges 20, after a common stop of 20 s 58 (all 60 in one slot, for ever); probes 59; trials after a common outage 46 (52 in one slot); rests after full 119; 360 clients refused at one instant all told the same instant. At fault: random phases at the start only, and none in trials, FULL_REST and Retry-After. Change: each period and wait draws anew.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -372,7 +372,7 @@
         for (int i = 0; i < 4 && probing && probeCredit >= 1 && zone.length > 0; i++) {
             Worker w = zone[Math.floorMod(probeTurn++, zone.length)];
             if (w.state == WorkerState.IN_SERVICE && now - w.probedAt > MAX_PERIOD) {
-                w.probedAt = now;
+                w.probedAt = now - random.nextLong(MAX_PERIOD / 4);
                 probeCredit -= 1;
                 out.probe(w.address);
             }
@@ -598,10 +598,13 @@
     }
 
     private void awaitTrial(Worker w) {
-        w.trialAt = now + (TRIAL << Math.min(w.failedTrials, DOUBLINGS));
+        w.trialAt = now + spread(TRIAL << Math.min(w.failedTrials, DOUBLINGS));
         w.failedTrials = next(w.failedTrials);
     }
 
+    // Danger: what all of a fleet, or all refused at once, wait equally long for comes back in step, for ever
+    private long spread(long least) { return least + random.nextLong(least / 4 + 1); }
+
     /** Danger: a count that wraps turns a shift, an index or a rate into nonsense. It stays at its end. */
     static int next(int count) { return Math.min(count, Integer.MAX_VALUE - 1) + 1; }
 
@@ -696,7 +699,7 @@
             }
             case FULL -> {
                 // danger: a worker that drains before the list says so turns everything away
-                w.restUntil = now + (FULL_REST << Math.min(w.fulls, FULL_DOUBLINGS));
+                w.restUntil = now + spread(FULL_REST << Math.min(w.fulls, FULL_DOUBLINGS));
                 w.fulls = next(w.fulls);
                 w.fullAt = now;
             }
@@ -725,7 +728,8 @@
     /** When a refused client should return: once our part of the zone has run what we hold now. */
     private long comeBack(Job j) {
         double rounds = heldSlots / Math.max(zoneSlots * share, 1);
-        return Math.min(s.maxRetryAfter(), Math.max(TICK, (long) (rounds * mean[j.request.jobClass()])));
+        long least = Math.max(TICK, (long) (rounds * mean[j.request.jobClass()]));
+        return Math.min(s.maxRetryAfter(), spread(least));
     }
 
     private void finish(Job j) {
@@ -963,7 +967,7 @@
         p = acceptance();
         if (s.mayTell() && now >= nextExchange) {
             exchange();
-            nextExchange = now + period;
+            nextExchange = now + period - random.nextLong(period / 4); // a later one would miss its tick
         }
         out.timer(TICK_TOKEN, TICK);
     }
