Bound repeats of what may have run to a fifth of requests and five a second

Seen: where each attempt breaks, but not two running at one worker, every RPC uses all its attempts, for each of a client's 3 tries. One request had 12 in the laboratory's outage. Each layer has its own bound, the sum had none. Change: a budget for repeats of what may have run, second copies too; without it the RPC is answered at once. What provably never ran is tried again as before.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -39,6 +39,11 @@
     private static final long LEFT_ALONE = 10_000_000; // or one that has been silent so long
     private static final long SETTLE = 2_000_000; // a zone not heard from by then has no dispatcher
     private static final long SUBSCRIBE_WAIT = 300_000; // before asking for the list again; doubles once
+    // danger: where all fails, each of a client's tries would become as many attempts as are allowed.
+    // What may have run is repeated for a fifth of the requests and so many times a second, no more
+    private static final double REPEAT_PART = 0.2;
+    private static final double REPEATS_PER_S = 5;
+    private static final double MOST_REPEATS = 25; // at once
     private static final double RATE_SPAN = 2; // seconds over which our rate is averaged
     private static final long NO_DEADLINE = 3_600_000_000L; // what stands for it where a class states none
     private static final long TICK_TOKEN = 1;
@@ -66,6 +71,7 @@
     private final double[] bucket; // tokens by tenant
     private final boolean[] blocked; // classes for which a drain has found no slot
     private double p = 1, r = 1, zoneSlots, share = 1, trafficShare, rate, probeCredit;
+    private double repeats = MOST_REPEATS;
     private int heldSlots, arrivals, homesMark, turn, probeTurn, checkTurn, subscribeFailures, goneByNow;
     private long now, lastTick, bornAt, nextExchange, spent, offersUntil, ticks, period = MIN_PERIOD;
     private final boolean probing;
@@ -104,6 +110,7 @@
         now = clock;
         JobClass spec = s.classes().get(q.jobClass());
         arrivals++;
+        repeats = Math.min(repeats + REPEAT_PART, MOST_REPEATS);
         probeCredit = Math.min(probeCredit + PROBE_SPEND / Math.max(s.probePrice(), 1e-3), 20);
         Job j = new Job(q, spec, now, beyondShare(q));
         jobs.put(j);
@@ -308,6 +315,7 @@
 
     private boolean sendTo(Job j, Worker w) {
         if (w == null || !mayOpen) { return false; }
+        if (!j.nothingMayHaveRun()) { repeats = Math.max(0, repeats - 1); }
         Attempt a = new Attempt(j, w, j.tries, now);
         unhold(j);
         j.add(a);
@@ -589,7 +597,7 @@
                     || a.cancelled || now > j.request.validUntil() - 3 * TICK) {
                 continue;
             }
-            if (s.parallel() && j.queue == null) {
+            if (s.parallel() && j.queue == null && repeats >= 1) {
                 hold(j, true);
             } else if (!s.parallel()) {
                 cancel(a);
@@ -716,7 +724,8 @@
     private void again(Job j) {
         if (j.queue != null) { return; }
         boolean repeatable = j.spec.effect() != Effect.UNSAFE || j.nothingMayHaveRun();
-        boolean can = repeatable && j.tries < s.maxAttempts() && now < j.request.validUntil() - 3 * TICK;
+        boolean can = repeatable && j.tries < s.maxAttempts() && now < j.request.validUntil() - 3 * TICK
+                && (j.nothingMayHaveRun() || repeats >= 1);
         if (can) { hold(j, true); } else { end(j); }
     }
 
@@ -953,6 +962,7 @@
         arrivals = 0;
         lastTick = now;
         fillBuckets(seconds);
+        repeats = Math.min(repeats + REPEATS_PER_S * seconds, MOST_REPEATS);
         if (ticks++ % 8 == 0 || now - bornAt < SETTLE / 2) {
             forgetSilentPeers();
             learnHomes();
--- a/src/test/java/saffronferry/EdgesTest.java
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -365,4 +365,26 @@
         assertEquals(1, rig.sends.size(), "one that fits is served");
         assertEquals(1.0, (double) get(rig.module, "p"));
     }
+
+    /** All fails, but not so that workers look broken: attempts must not grow to as many as each RPC may have. */
+    @Test
+    void repeatsOfWhatMayHaveRunAreBoundedInAll() {
+        plan.maxAttempts = 4;
+        plan.classes = List.of(Rig.jobClass(Effect.SAFE, Group.ALL));
+        Rig rig = new Rig(plan.settings()).list(IntStream.range(0, 20).mapToObj(i -> Rig.worker("w" + i))
+                .toArray(WorkerInfo[]::new));
+        int seen = 0;
+        long asked = 20 * 200;
+        for (long id = 1; id <= asked; id++) {
+            rig.ask(id);
+            for (; seen < rig.sends.size(); seen++) {
+                Rig.Send s = rig.sends.get(seen);
+                rig.module.note(rig.now, s.id(), s.attempt(), true);
+                rig.answer(s.id(), s.attempt(), Outcome.RESET);
+            }
+            rig.run(5 * Rig.MS);
+        }
+        assertTrue(seen > asked, "some are repeated");
+        assertTrue(seen <= asked * 1.2 + 5 * 20 + 25, seen + " attempts for " + asked + " requests");
+    }
 }
