--- a/docs/measurements/tools/Pressure.java
+++ b/docs/measurements/tools/Pressure.java
@@ -28,13 +28,17 @@
  * A dispatcher under pressure, on one core.
  *
  * <pre>java docs/measurements/tools/Pressure.java crowd CHECKOUT DESCRIPTORS CROWD SECONDS CORE
- * java docs/measurements/tools/Pressure.java start CHECKOUT RUNS CLIENTS CORE</pre>
+ * java docs/measurements/tools/Pressure.java start CHECKOUT RUNS CLIENTS CORE
+ * java docs/measurements/tools/Pressure.java bodies CHECKOUT DESCRIPTORS CONNECTIONS SECONDS CORE
+ * java docs/measurements/tools/Pressure.java machine CHECKOUT DESCRIPTORS SECONDS CORE RATE...</pre>
  *
  * {@code crowd}: what usual clients get, 100 requests a second in all, each on a new connection and with latency
  * counted from its intended start, while a crowd of connections presses that say nothing and come again when they
  * are closed. {@code start}: from exec to the first served request, on half a core: the dispatcher shares its core
- * with a busy loop, and clients try to connect from before its start, each with one request. CHECKOUT is a folder
- * in which the build of {@code deploy/balancer.toml} has been run.
+ * with a busy loop, and clients try to connect from before its start, each with one request. {@code bodies}: so many
+ * connections at once send requests with bodies as long as is allowed, again and again, and do not read. {@code
+ * machine}: what a usual load takes, at each rate of requests a second: memory by the JVM's own account, processor
+ * by thread, descriptors. CHECKOUT is a folder in which the build of {@code deploy/balancer.toml} has been run.
  */
 public final class Pressure {
     private static final int PORT = 22_000;
@@ -46,6 +50,10 @@
         serve(PORT + 3, false);
         if (args[0].equals("start")) {
             starts(args);
+        } else if (args[0].equals("bodies")) {
+            bodies(args);
+        } else if (args[0].equals("machine")) {
+            machine(args);
         } else {
             crowd(args);
         }
@@ -139,15 +147,108 @@
         }
     }
 
+    private static void await() throws InterruptedException {
+        while (ask("warm" + System.nanoTime(), 1000) != 200) {
+            Thread.sleep(20);
+        }
+    }
+
+    private static void bodies(String[] args) throws Exception {
+        int connections = Integer.parseInt(args[3]);
+        Process process = launch(Path.of(args[1]), Integer.parseInt(args[2]), args[5], "");
+        try {
+            await();
+            long end = System.nanoTime() + Integer.parseInt(args[4]) * 1_000_000_000L;
+            AtomicInteger sent = new AtomicInteger();
+            byte[] body = new byte[64 * 1024 - 16];
+            for (int i = 0; i < connections; i++) {
+                Thread thread = new Thread(() -> {
+                    while (System.nanoTime() < end) {
+                        try (Socket s = new Socket()) {
+                            s.connect(new InetSocketAddress("127.0.0.1", PORT), 2000);
+                            s.setSoTimeout(5000);
+                            s.getOutputStream().write(("POST /directory-page HTTP/1.1\r\nHost: h\r\nX-Txn: b"
+                                    + sent.incrementAndGet() + "\r\nX-Remaining-Ms: 5000\r\nContent-Length: "
+                                    + body.length + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+                            s.getOutputStream().write(body);
+                            s.getInputStream().read();
+                        } catch (IOException e) {
+                            pause();
+                        }
+                    }
+                });
+                thread.setDaemon(true);
+                thread.start();
+            }
+            String most = "";
+            long peak = 0;
+            while (System.nanoTime() < end && process.isAlive()) {
+                String now = rss(process.pid());
+                long mb = Long.parseLong("0" + now.replaceAll("\\D", ""));
+                most = mb > peak ? now : most;
+                peak = Math.max(peak, mb);
+                Thread.sleep(20);
+            }
+            System.out.printf("%d connections with %d bytes each, %s descriptors: %d sent, RSS at most %s, %s%n",
+                    connections, body.length, args[2], sent.get(), most, process.isAlive() ? "alive"
+                    : "ended with " + process.exitValue());
+        } finally {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
+    private static void machine(String[] args) throws Exception {
+        int seconds = Integer.parseInt(args[3]);
+        Process process = launch(Path.of(args[1]), Integer.parseInt(args[2]), args[4],
+                "-XX:NativeMemoryTracking=summary");
+        try {
+            await();
+            for (String rate : Arrays.asList(args).subList(5, args.length)) {
+                AtomicInteger held = new AtomicInteger();
+                Thread looking = new Thread(() -> look(process.pid(), held));
+                looking.setDaemon(true);
+                looking.start();
+                java.util.Map<String, Long> before = threads(process.pid());
+                double[] latencies = usual(Integer.parseInt(rate), seconds);
+                java.util.Map<String, Long> after = threads(process.pid());
+                after.replaceAll((name, ticks) -> ticks - before.getOrDefault(name, 0L));
+                long ticks = after.values().stream().mapToLong(Long::longValue).sum();
+                after.values().removeIf(x -> x == 0);
+                double[] served = Arrays.stream(latencies).filter(t -> t >= 0).sorted().toArray();
+                System.out.printf("%s a second: served %.3f, p50 %.1f ms; %.3f of a core, %.2f ms a request; most "
+                        + "descriptors %d; RSS %s; hundredths of a second by thread %s%n", rate, served.length
+                        / (double) latencies.length, served.length == 0 ? -1 : served[served.length / 2] * 1000,
+                        ticks / 100.0 / seconds, ticks * 10.0 / Math.max(1, latencies.length), held.get(),
+                        rss(process.pid()), after);
+            }
+            Process jcmd = new ProcessBuilder("jcmd", Long.toString(process.pid()), "VM.native_memory", "summary")
+                    .redirectErrorStream(true).start();
+            new String(jcmd.getInputStream().readAllBytes(), StandardCharsets.UTF_8).lines()
+                    .filter(l -> l.contains("committed=")).forEach(System.out::println);
+        } finally {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
+    /** Processor time of each thread by its name, in hundredths of a second. */
+    private static java.util.Map<String, Long> threads(long pid) throws IOException {
+        java.util.Map<String, Long> all = new java.util.TreeMap<>();
+        for (File task : new File("/proc/" + pid + "/task").listFiles()) {
+            String stat = Files.readString(task.toPath().resolve("stat"));
+            String[] rest = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            all.merge(stat.substring(stat.indexOf('(') + 1, stat.lastIndexOf(')')), Long.parseLong(rest[11])
+                    + Long.parseLong(rest[12]), Long::sum);
+        }
+        return all;
+    }
+
     private static void crowd(String[] args) throws Exception {
         int descriptors = Integer.parseInt(args[2]);
         int crowd = Integer.parseInt(args[3]);
         int seconds = Integer.parseInt(args[4]);
-        Process process = launch(Path.of(args[1]), descriptors, args[5]);
+        Process process = launch(Path.of(args[1]), descriptors, args[5], "");
         try {
-            while (ask("warm" + System.nanoTime(), 1000) != 200) {
-                Thread.sleep(20);
-            }
+            await();
             Thread.sleep(1000);
             usual(50, 1); // so that all is compiled that will be
             AtomicInteger reconnects = new AtomicInteger();
@@ -283,10 +384,11 @@
                 .map(l -> Integer.parseInt(l.replaceAll("\\D", "")) / 1024 + " MB").findFirst().orElse("?");
     }
 
-    private static Process launch(Path checkout, int descriptors, String core) throws IOException {
+    private static Process launch(Path checkout, int descriptors, String core, String options)
+            throws IOException {
         Path file = config(descriptors);
         ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n " + descriptors + "; exec taskset -c " + core
-                + " java @deploy/serve.jvm -XX:SharedArchiveFile=target/saffronferry.jsa -Djava.io.tmpdir=/tmp"
+                + " java @deploy/serve.jvm " + options + " -XX:SharedArchiveFile=target/saffronferry.jsa -Djava.io.tmpdir=/tmp"
                 + " -jar target/saffronferry.jar serve").directory(checkout.toFile()).redirectErrorStream(true)
                 .redirectOutput(new File("/dev/null"));
         builder.environment().put("BALANCER_CONFIG", file.toString());
