Take a repeat out of its budget when the job is held, not when it is sent

Seen on rereading: a worker that breaks with 100 jobs had 100 copies held against a budget of 65, since each looked at the budget before any was sent, and a budget at 0 forgot the debt. At fault: repeats charged in sendTo and floored. Change: mayRepeat, in both places that hold a repeat, takes it out at once.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -36,8 +36,8 @@
     private static final double MOST_SLOTS = 4096; // no worker has more: a report that says so is none
     private static final double SLOT_SAMPLES = 10; // reports that the learned slots rest on
     private static final long PROBE_AGAIN = 150_000; // a worker that had nothing to report yet
-    private static final long LEFT_ALONE = 10_000_000; // or one that has been silent so long
     private static final long SETTLE = 2_000_000; // a zone not heard from by then has no dispatcher
+    private static final long LEFT_ALONE = 10_000_000; // nor has one that has been silent so long
     private static final long SUBSCRIBE_WAIT = 300_000; // before asking for the list again; doubles once
     // danger: where all fails, each of a client's tries would become as many attempts as are allowed.
     // What may have run is repeated for a fifth of the requests and so many times a second, no more
@@ -315,7 +315,6 @@
 
     private boolean sendTo(Job j, Worker w) {
         if (w == null || !mayOpen) { return false; }
-        if (!j.nothingMayHaveRun()) { repeats = Math.max(0, repeats - 1); }
         Attempt a = new Attempt(j, w, j.tries, now);
         unhold(j);
         j.add(a);
@@ -597,7 +596,7 @@
                     || a.cancelled || now > j.request.validUntil() - 3 * TICK) {
                 continue;
             }
-            if (s.parallel() && j.queue == null && repeats >= 1) {
+            if (s.parallel() && j.queue == null && mayRepeat(j)) {
                 hold(j, true);
             } else if (!s.parallel()) {
                 cancel(a);
@@ -725,10 +724,18 @@
         if (j.queue != null) { return; }
         boolean repeatable = j.spec.effect() != Effect.UNSAFE || j.nothingMayHaveRun();
         boolean can = repeatable && j.tries < s.maxAttempts() && now < j.request.validUntil() - 3 * TICK
-                && (j.nothingMayHaveRun() || repeats >= 1);
+                && mayRepeat(j);
         if (can) { hold(j, true); } else { end(j); }
     }
 
+    /** Takes a repeat out of the budget, at once: many jobs may be held for it before any is sent. */
+    private boolean mayRepeat(Job j) {
+        if (j.nothingMayHaveRun()) { return true; }
+        boolean may = repeats >= 1;
+        repeats -= may ? 1 : 0;
+        return may;
+    }
+
     private void end(Job j) {
         if (mayRefuse(j)) { out.refuse(j.request.id(), comeBack(j)); } else { out.fail(j.request.id()); }
         finish(j);
--- a/src/test/java/saffronferry/EdgesTest.java
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -387,4 +387,22 @@
         assertTrue(seen > asked, "some are repeated");
         assertTrue(seen <= asked * 1.2 + 5 * 20 + 25, seen + " attempts for " + asked + " requests");
     }
+
+    /** One large worker breaks with 100 jobs on it: their copies, held at once and sent later, are bounded too. */
+    @Test
+    void copiesHeldAllAtOnceAreBoundedToo() {
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"), Rig.worker("b"));
+        rig.report("a", 100);
+        rig.report("b", 100);
+        for (long id = 1; id <= 200; id++) {
+            rig.ask(id);
+        }
+        assertEquals(200, rig.sends.size());
+        long broken = rig.sends.stream().filter(s -> s.worker().equals("a")).findFirst().orElseThrow().id();
+        rig.answer(broken, 0, Outcome.CONNECT_FAILED);
+        List.copyOf(rig.sends).stream().filter(s -> s.worker().equals("b") && s.id() != broken && s.attempt() == 0)
+                .forEach(s -> rig.answer(s.id(), 0, Outcome.OK));
+        int copies = rig.sends.size() - 200;
+        assertTrue(copies > 5 && copies <= 0.2 * 200 + 25 + 1, copies + " copies");
+    }
 }
