--- a/src/main/java/saffronferry/Balancer.java
+++ b/src/main/java/saffronferry/Balancer.java
@@ -51,6 +51,11 @@
         return steps.take();
     }
 
+    /** How many subchannels in service it avoids by its own choice. */
+    public int avoided() {
+        return module.avoided();
+    }
+
     /** Gathers the module's actions. */
     private static final class Steps implements Contract.Actions {
         private List<Step> list = new ArrayList<>();
--- a/src/main/java/saffronferry/Contract.java
+++ b/src/main/java/saffronferry/Contract.java
@@ -87,6 +87,9 @@
         /** Asking for the list failed or the subscription broke; the old list stays in force. */
         void workersUnavailable(long now);
 
+        /** How many workers in service are given no jobs for now, but for a trial. */
+        int avoided();
+
         /** Whether attempts can be sent at all: while there is no descriptor or port for them, none is. */
         void room(long now, boolean open);
 
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -957,6 +957,11 @@
         out.timer(SUBSCRIBE_TOKEN, wait / 2 + random.nextLong(wait));
     }
 
+    @Override public int avoided() {
+        return (int) fleet.byAddress.values().stream()
+                .filter(w -> w.suspect && w.state == WorkerState.IN_SERVICE).count();
+    }
+
     // ---- time ----
     @Override public void timer(long clock, long token) {
         now = clock;
--- a/src/main/java/saffronferry/lifecycle/Config.java
+++ b/src/main/java/saffronferry/lifecycle/Config.java
@@ -24,6 +24,9 @@
     /** Null where dispatchers do not speak with each other. */
     final Address peerListen;
     final List<Address> peers;
+    /** Where operators call; null where they do not. */
+    final Address console;
+    final Path folder;
     /** How many descriptors the process may hold in all. */
     final int sockets;
     final SettingsReader settings;
@@ -40,7 +43,8 @@
             JSONObject json = new JSONObject(Files.readString(Path.of(file)));
             standIn(json, "listen", environment.get("BALANCER_LISTEN"));
             standIn(json, "discovery", environment.get("BALANCER_DISCOVERY"));
-            return new Config(json);
+            standIn(json, "console", environment.get("BALANCER_CONSOLE"));
+            return new Config(json, Path.of(System.getProperty("java.io.tmpdir")));
         } catch (IOException e) {
             throw new IllegalArgumentException("BALANCER_CONFIG: cannot read " + file);
         } catch (JSONException e) {
@@ -53,11 +57,15 @@
         read(Map.of("BALANCER_CONFIG", file.toString()));
     }
 
-    Config(JSONObject json) {
+    /** {@code folder}: where what outlives the process is kept, as far as the platform lets it. */
+    Config(JSONObject json, Path folder) {
+        this.folder = folder;
         listen = key("listen", () -> Address.parse(json.getString("listen")));
         discovery = key("discovery", () -> Address.parse(json.getString("discovery")));
         peerListen = json.isNull("peer_listen") ? null
                 : key("peer_listen", () -> Address.parse(json.getString("peer_listen")));
+        console = json.isNull("console") ? null
+                : key("console", () -> Address.parse(json.getString("console")));
         peers = key("peers", () -> peers(json.optJSONArray("peers")));
         sockets = key("limits.sockets", () -> sockets(json.optJSONObject("limits")));
         long seed = key("seed", () -> json.isNull("seed") ? System.nanoTime()
@@ -68,6 +76,14 @@
                 : lists.parse(json.getJSONObject("known")));
     }
 
+    /**
+     * What our files in the temporary folder are called: it may be shared with dispatchers at other
+     * addresses.
+     */
+    String fileName() {
+        return "saffronferry-" + listen.toString().replace(':', '-');
+    }
+
     private static void standIn(JSONObject json, String key, String value) {
         if (json.isNull(key) && value != null) {
             json.put(key, value);
--- /dev/null
+++ b/src/main/java/saffronferry/lifecycle/Console.java
@@ -0,0 +1,125 @@
+package saffronferry.lifecycle;
+
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.util.function.UnaryOperator;
+import saffronferry.log.BoundedLog;
+import saffronferry.ops.Bans;
+import saffronferry.ops.Call;
+import saffronferry.ops.Figures;
+import saffronferry.state.Ledger;
+import saffronferry.wire.ConsoleServer;
+
+/** Does what operators call for, and keeps the bans in step with their file. For the event loop. */
+final class Console implements ConsoleServer.Desk {
+    private static final long LOOK_MS = 100;
+
+    /** What the node itself does for a call. */
+    interface Floor {
+        boolean ready();
+
+        void drain();
+
+        /** False if the process is ending. */
+        boolean undrain();
+    }
+
+    private final Vertx vertx;
+    private final Ledger<?> ledger;
+    private final Figures figures;
+    private final BanFile file;
+    private final Floor floor;
+    private final BoundedLog log;
+    private int changing;
+    private boolean looking;
+
+    Console(Vertx vertx, Ledger<?> ledger, Figures figures, BanFile file, Floor floor, BoundedLog log) {
+        this.vertx = vertx;
+        this.ledger = ledger;
+        this.figures = figures;
+        this.file = file;
+        this.floor = floor;
+        this.log = log;
+    }
+
+    /** Looks from now on whether another process has changed the bans. */
+    void watch() {
+        vertx.setPeriodic(LOOK_MS, t -> look());
+    }
+
+    @Override
+    public void called(String method, String path, ConsoleServer.Reply reply) {
+        Call call = Call.read(method, path);
+        switch (call.kind()) {
+            case READINESS -> reply.say(floor.ready() ? 200 : 503, floor.ready() ? "ready\n" : "not ready\n");
+            case STATS -> reply.say(200, figures.text(ledger.now()));
+            case WORKER_DOWN -> ban(call.worker(), bans -> bans.with(call.worker()), "is out", reply);
+            case WORKER_UP -> ban(call.worker(), bans -> bans.without(call.worker()), "is back", reply);
+            case DRAIN_START -> {
+                floor.drain();
+                reply.say(200, "draining\n");
+            }
+            case DRAIN_STOP -> {
+                boolean open = floor.undrain();
+                reply.say(open ? 200 : 409, open ? "taking clients\n" : "the process is ending\n");
+            }
+            case WRONG_METHOD -> reply.say(405, "another method is wanted here\n");
+            default -> reply.say(404, "no such call\n");
+        }
+    }
+
+    private void ban(String worker, UnaryOperator<Bans> how, String done, ConsoleServer.Reply reply) {
+        if (!ledger.knows(worker)) {
+            reply.say(404, "no worker has this id\n");
+            return;
+        }
+        Bans before = ledger.bans();
+        ledger.ban(how.apply(before)); // at once; yes is said when it will also outlive this process
+        changing++;
+        vertx.<Bans>executeBlocking(() -> file.change(how)).onComplete(written -> {
+            changing--;
+            if (written.succeeded()) {
+                follow(written.result());
+                log.line("worker " + done, worker);
+                reply.say(200, worker + " " + done + "\n");
+            } else {
+                // a no means that nothing has changed
+                ledger.ban(before);
+                log.line("bans not written", String.valueOf(written.cause()));
+                reply.say(500, "the bans cannot be written: " + written.cause().getMessage() + "\n");
+            }
+        });
+    }
+
+    /** What the file says holds, unless a change of ours is yet to reach it. */
+    private void follow(Bans bans) {
+        if (changing == 0 && !bans.equals(ledger.bans())) {
+            ledger.ban(bans);
+        }
+    }
+
+    private void look() {
+        if (looking || changing > 0) {
+            return;
+        }
+        looking = true;
+        vertx.<Bans>executeBlocking(file::readIfChanged).onComplete(r -> {
+            looking = false;
+            if (r.failed()) {
+                log.line("bans not read", String.valueOf(r.cause().getMessage()));
+            } else if (r.result() != null) {
+                follow(r.result());
+            }
+        });
+    }
+
+    /** Reads the bans that a start is to begin with; what is damaged is logged and ends nothing. */
+    static Bans atStart(BanFile file, BoundedLog log) {
+        try {
+            return file.read();
+        } catch (IOException e) {
+            log.line("bans not read", e.getMessage());
+            return Bans.NONE;
+        }
+    }
+}
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -14,8 +14,12 @@
 import saffronferry.limit.AcceptGate;
 import saffronferry.limit.Descriptors;
 import saffronferry.log.BoundedLog;
+import saffronferry.ops.Bans;
+import saffronferry.ops.Drain;
+import saffronferry.ops.Figures;
 import saffronferry.settings.SettingsReader;
 import saffronferry.wire.BoundedTransport;
+import saffronferry.wire.ConsoleServer;
 import saffronferry.wire.Wire;
 
 /** One real dispatcher, from start to the end of its drain. Everything runs on one event loop. */
@@ -40,10 +44,16 @@
     private final BoundedLog log;
     private final Descriptors descriptors;
     private final BoundedTransport transport;
+    private final Figures figures;
+    private final Drain drain = new Drain();
     private final CountDownLatch drained = new CountDownLatch(1);
     private Wire wire;
     private Watchdog watchdog;
     private volatile boolean closing;
+    private BanFile banFile;
+    private Bans bans = Bans.NONE;
+    private boolean ready;
+    private boolean lastIntake;
     private Runnable onUnable = () -> { };
 
     /**
@@ -62,10 +72,15 @@
         descriptors = descriptors(config);
         transport = transports.apply(new AcceptGate(descriptors), log);
         descriptors.onFree(transport::freed);
+        figures = new Figures(config.settings.settings.classes().stream().map(c -> c.name()).toList());
         vertx = new VertxBuilder(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1)).findTransport(transport).init().vertx();
         context = vertx.getOrCreateContext();
         patience(Watchdog.GIVE_UP_MS);
+        if (config.console != null) {
+            banFile = new BanFile(config.folder, config.fileName());
+            bans = Console.atStart(banFile, log);
+        }
         transport.onListenerLost(() -> unable("the listening socket is closed"));
     }
 
@@ -121,15 +136,46 @@
         wire = new Wire(vertx, new Wire.Options(config.discovery, config.peerListen, config.peers,
                 s.settings.classes(), s.tenants, config.lists, s.fieldOf("free slots"),
                 s.connectTimeout),
-                new Balancer(s.settings), descriptors, transport, log);
-        return wire.begin(config.known).compose(v -> wire.server().listen(config.listen))
+                new Balancer(s.settings), figures, descriptors, transport, log);
+        Future<Void> console = Future.succeededFuture();
+        if (config.console != null) {
+            wire.ledger().ban(bans); // before the first decision
+            console = openConsole();
+        }
+        return console.compose(v -> wire.begin(config.known))
+                .compose(v -> wire.server().listen(config.listen))
                 .compose(v -> wire.warmUp(config.listen))
                 .onSuccess(v -> {
+                    ready = true;
                     wire.server().ready();
                     log.line("serving", config.listen.toString());
                 }).mapEmpty();
     }
 
+    private Future<Void> openConsole() {
+        Console desk = new Console(vertx, wire.ledger(), figures, banFile, new Console.Floor() {
+            @Override
+            public boolean ready() {
+                return ready && !drain.ending();
+            }
+
+            @Override
+            public void drain() {
+                drain.start(now());
+                followDrain();
+            }
+
+            @Override
+            public boolean undrain() {
+                boolean open = drain.stop();
+                followDrain();
+                return open;
+            }
+        }, log);
+        desk.watch();
+        return new ConsoleServer(vertx, descriptors, transport, desk).listen(config.console);
+    }
+
     /**
      * SIGHUP runs this, on a thread of its own, since reading a file must not park the event loop; one at a
      * time, so that of several the last one's file prevails. Of the new configuration only {@code
@@ -165,14 +211,28 @@
                 .orElse(LONGEST_MS);
         long counted = Math.max(STILL_LISTEN_MS, Math.min(longest, LONGEST_MS));
         log.line("draining", wire.ledger().unanswered() + " RPCs are open");
-        wire.server().drain();
+        drain.end(now(), counted - LAST_INTAKE_MS, false);
+        followDrain();
         vertx.setTimer(STILL_LISTEN_MS, t ->
                 wire.ledger().endWithin(counted + AFTER_LONGEST_MS - STILL_LISTEN_MS));
-        vertx.setTimer(counted - LAST_INTAKE_MS, t -> {
-            wire.server().closeIdle();
+    }
+
+    /** Has clients treated as the drain's phase says, now and whenever it changes by itself. */
+    private void followDrain() {
+        Drain.Phase phase = drain.phase(now());
+        wire.server().drain(phase, drain.ending());
+        long next = drain.untilNext(now());
+        if (next >= 0) {
+            vertx.setTimer(Math.max(1, next), t -> followDrain());
+        } else if (drain.ending() && !lastIntake) {
+            lastIntake = true;
             wire.ledger().onAnswer(this::endIfDone);
             endIfDone(wire.ledger().unanswered());
-        });
+        }
+    }
+
+    private static long now() {
+        return System.nanoTime() / 1_000_000;
     }
 
     private void endIfDone(int left) {
--- a/src/main/java/saffronferry/limit/Descriptors.java
+++ b/src/main/java/saffronferry/limit/Descriptors.java
@@ -10,14 +10,20 @@
  */
 public final class Descriptors {
     /** What descriptors are for. Files and listening sockets are counted once, at the start. */
-    public enum Purpose { CLIENTS, WORKERS, PROBES, DISCOVERY }
+    public enum Purpose { CLIENTS, WORKERS, PROBES, DISCOVERY, CONSOLE }
 
     /** Never given out: no crowd may bring the process nearer to its limit than this. */
     public static final int SPARE = 16;
     /** Where clients have no more left than this, those that say nothing make room for newcomers. */
     public static final int TIGHT = 8;
+    /**
+     * The same for operators' calls: of those they are sure of, others must stay while a new one comes in.
+     */
+    public static final int TIGHT_CONSOLE = 2;
     private static final int DISCOVERY = 4;
     private static final int PROBES = 8;
+    private static final int CONSOLE = 6;
+    private static final int MOST_CONSOLE = 16;
 
     private final int total;
     private final int[] sure = new int[Purpose.values().length];
@@ -39,10 +45,12 @@
         plan(Purpose.WORKERS, limit / 4, limit / 2);
         plan(Purpose.PROBES, PROBES, Math.max(PROBES, limit / 8));
         plan(Purpose.DISCOVERY, DISCOVERY, DISCOVERY);
+        // operators must be heard however many clients there are
+        plan(Purpose.CONSOLE, CONSOLE, MOST_CONSOLE);
         if (owed > total) {
             throw new IllegalArgumentException(limit + " descriptors are too few: " + own
-                    + " are the program's own, " + SPARE + " stay free, and clients, workers, probes and"
-                    + " discovery need " + owed);
+                    + " are the program's own, " + SPARE + " stay free, and clients, workers, probes,"
+                    + " discovery and the console need " + owed);
         }
     }
 
--- a/src/main/java/saffronferry/state/CallAttempt.java
+++ b/src/main/java/saffronferry/state/CallAttempt.java
@@ -9,32 +9,43 @@
     interface Listener {
         void moved(CallAttempt attempt, boolean started);
 
+        /** The attempt is written whole. */
+        void written(CallAttempt attempt);
+
         void ended(CallAttempt attempt, Outcome outcome, String result, Report load);
     }
 
     final long rpc;
+    final int rpcClass;
     final int number;
     final long sentAt;
+    final String subchannel;
     private final Listener listener;
     private boolean over;
+    private boolean begun;
     /** Whether the subchannel found fault with the RPC itself. */
     boolean rejected;
     /** Gives the attempt up on the wire. */
     Runnable giveUp = () -> { };
 
-    CallAttempt(long rpc, int number, long sentAt, Listener listener) {
+    CallAttempt(long rpc, int rpcClass, int number, long sentAt, String subchannel, Listener listener) {
         this.rpc = rpc;
+        this.rpcClass = rpcClass;
         this.number = number;
         this.sentAt = sentAt;
+        this.subchannel = subchannel;
         this.listener = listener;
     }
 
     /** An attempt of no RPC: only its end is told. */
     public static CallAttempt unheard(Runnable onEnd) {
-        return new CallAttempt(0, 0, 0, new Listener() {
+        return new CallAttempt(0, 0, 0, 0, null, new Listener() {
             @Override
             public void moved(CallAttempt attempt, boolean started) { }
 
+            @Override
+            public void written(CallAttempt attempt) { }
+
             @Override
             public void ended(CallAttempt attempt, Outcome outcome, String result, Report load) {
                 onEnd.run();
@@ -46,6 +57,21 @@
         return over;
     }
 
+    /** Its connection is up and the first byte is about to be written. */
+    public void begun() {
+        begun = true;
+    }
+
+    /** Whether any of it may have been sent. */
+    boolean hasBegun() {
+        return begun;
+    }
+
+    /** Its last byte is written; told though the attempt may be over by now. */
+    public void written() {
+        listener.written(this);
+    }
+
     public void started() {
         if (!over) {
             listener.moved(this, true);
--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -14,8 +14,12 @@
 import saffronferry.Contract.Outcome;
 import saffronferry.Contract.Report;
 import saffronferry.Contract.Request;
+import saffronferry.Contract.WorkerInfo;
 import saffronferry.News;
 import saffronferry.Step;
+import saffronferry.ops.Bans;
+import saffronferry.ops.Figures;
+import saffronferry.ops.Figures.Result;
 
 /**
  * The one owner of all open RPCs: it asks the balancer, carries out what it says, and sees to it that each
@@ -30,6 +34,7 @@
     private final Balancer balancer;
     private final Clock clock;
     private final Ports<M> ports;
+    private final Figures figures;
     private final ResolverResult resolved = new ResolverResult();
     private final Map<Long, Rpc<M>> open = new HashMap<>();
     private final Set<String> names = new HashSet<>();
@@ -40,10 +45,12 @@
     private int unanswered;
     private Consumer<Integer> onAnswer = left -> { };
 
-    public Ledger(Balancer balancer, Clock clock, Ports<M> ports) {
+    /** Counts answers and attempts in the figures, by class. */
+    public Ledger(Balancer balancer, Clock clock, Ports<M> ports, Figures figures) {
         this.balancer = balancer;
         this.clock = clock;
         this.ports = ports;
+        this.figures = figures;
     }
 
     // ---- the client's side ----
@@ -61,7 +68,7 @@
         long id = ++lastId;
         long now = clock.now();
         long deadline = Math.min(now + info.remaining(), lastDeadline);
-        Rpc<M> rpc = new Rpc<>(id, info.name(), message, deadline, channel);
+        Rpc<M> rpc = new Rpc<>(id, info.name(), info.rpcClass(), message, deadline, channel);
         open.put(id, rpc);
         names.add(rpc.name);
         unanswered++;
@@ -73,7 +80,7 @@
                 return balancer.pick(clock.now(), request);
             } catch (RuntimeException | Error e) {
                 // guards against an RPC that the balancer dropped on an error: nobody else would answer it
-                answer(rpc, Channel::failed);
+                answer(rpc, Result.ERRORS, Channel::failed);
                 throw e;
             }
         });
@@ -89,7 +96,7 @@
     public void clientGone(long id) {
         Rpc<M> rpc = open.get(id);
         if (rpc != null && !rpc.answered()) {
-            answer(rpc, channel -> { });
+            answer(rpc, null, channel -> { });
             report(new News.ClientGone(id));
         }
     }
@@ -110,12 +117,13 @@
         }
         // guards against an RPC left without an answer at its deadline, whatever the balancer made of it
         run(() -> {
-            answer(rpc, Channel::failed);
+            answer(rpc, Result.ERRORS, Channel::failed);
             return List.of();
         });
     }
 
-    private void answer(Rpc<M> rpc, Consumer<Channel> how) {
+    /** Every RPC ends here, once. The result is null where the client has gone, which counts as none. */
+    private void answer(Rpc<M> rpc, Result result, Consumer<Channel> how) {
         Channel channel = rpc.channel;
         if (channel == null) {
             return;
@@ -124,6 +132,9 @@
         ports.unwake(rpc.timer);
         forgetIfDone(rpc);
         unanswered--;
+        if (result != null) {
+            figures.answered(rpc.rpcClass, result);
+        }
         how.accept(channel);
         onAnswer.accept(unanswered);
     }
@@ -138,15 +149,53 @@
     // ---- news ----
 
     public void resolved(ListUpdate update, boolean warmCopy) {
-        resolved.take(update);
+        List<WorkerInfo> shown = resolved.take(update);
         ListKind kind = warmCopy ? ListKind.WARM_COPY : update.complete() ? ListKind.WHOLE : ListKind.CHANGES;
-        report(new News.Resolved(kind, update.infos()));
+        report(new News.Resolved(kind, shown));
     }
 
     public void report(News news) {
         run(() -> balancer.report(clock.now(), news));
     }
 
+    // ---- the operators' side ----
+
+    /** From now on nothing more goes to these subchannels; what runs there goes on. */
+    public void ban(Bans next) {
+        Bans before = resolved.bans();
+        List<WorkerInfo> changed = resolved.ban(next, clock.now());
+        if (!changed.isEmpty()) {
+            report(new News.Resolved(ListKind.CHANGES, changed));
+        }
+        // guards against what the balancer cannot recall: an attempt whose connection is yet to come up
+        for (Rpc<M> rpc : new ArrayList<>(open.values())) {
+            for (CallAttempt a : new ArrayList<>(rpc.attempts)) {
+                if (!a.hasBegun() && next.has(a.subchannel) && !before.has(a.subchannel)) {
+                    giveUp(a, Outcome.NOT_SENT);
+                }
+            }
+        }
+    }
+
+    public Bans bans() {
+        return resolved.bans();
+    }
+
+    /** Whether anybody has, or had, a subchannel of this id. */
+    public boolean knows(String subchannel) {
+        return resolved.knows(subchannel);
+    }
+
+    /** What holds now, beside what is counted. */
+    public Figures.Now now() {
+        return new Figures.Now(unanswered, resolved.size(), resolved.banned() + balancer.avoided());
+    }
+
+    @Override
+    public void written(CallAttempt a) {
+        figures.tried(a.rpcClass);
+    }
+
     @Override
     public void moved(CallAttempt a, boolean started) {
         report(new News.AttemptMoved(a.rpc, a.number, started));
@@ -157,10 +206,10 @@
         Rpc<M> rpc = open.get(a.rpc);
         rpc.outstanding--;
         if (outcome == Outcome.OK) {
-            answer(rpc, channel -> channel.served(result));
+            answer(rpc, Result.OK, channel -> channel.served(result));
         } else if (a.rejected) {
             // guards healthy subchannels against the blame for what a bad client sent, one after the other
-            answer(rpc, Channel::failed);
+            answer(rpc, Result.ERRORS, Channel::failed);
         }
         boolean answered = rpc.answered();
         forgetIfDone(rpc);
@@ -212,9 +261,9 @@
                 giveUp(rpc.attempts.get(c.attempt()), Outcome.CANCELLED);
             }
         } else if (step instanceof Step.Refuse r) {
-            finish(r.rpc(), channel -> channel.refused(r.retryAfter()));
+            finish(r.rpc(), Result.SHED, channel -> channel.refused(r.retryAfter()));
         } else if (step instanceof Step.Fail f) {
-            finish(f.rpc(), Channel::failed);
+            finish(f.rpc(), Result.ERRORS, Channel::failed);
         } else if (step instanceof Step.Probe p) {
             probe(p.subchannel());
         } else if (step instanceof Step.TellPeer t) {
@@ -232,12 +281,15 @@
             throw new IllegalStateException("an attempt for an RPC that is over");
         }
         long now = clock.now();
-        CallAttempt a = new CallAttempt(rpc.id, rpc.attempts.size(), now, this);
+        CallAttempt a = new CallAttempt(rpc.id, rpc.rpcClass, rpc.attempts.size(), now, s.subchannel(), this);
         rpc.attempts.add(a);
         rpc.outstanding++;
         String address = resolved.address(s.subchannel());
         if (rpc.answered() || now >= rpc.deadline) {
             a.ended(Outcome.NOT_SENT, null);
+        } else if (resolved.bans().has(s.subchannel())) {
+            // guards the ban against a step that was decided before it
+            a.ended(Outcome.NOT_SENT, null);
         } else if (address == null) {
             a.ended(Outcome.CONNECT_FAILED, null);
         } else {
@@ -251,15 +303,15 @@
         }
     }
 
-    private void finish(long id, Consumer<Channel> how) {
+    private void finish(long id, Result result, Consumer<Channel> how) {
         Rpc<M> rpc = open.get(id);
         if (rpc != null) {
-            answer(rpc, how);
+            answer(rpc, result, how);
         }
     }
 
     private void probe(String subchannel) {
-        String address = resolved.address(subchannel);
+        String address = resolved.bans().has(subchannel) ? null : resolved.address(subchannel);
         if (address == null) {
             report(new News.Probed(subchannel, Outcome.CONNECT_FAILED, null));
         } else {
--- a/src/main/java/saffronferry/state/ResolverResult.java
+++ b/src/main/java/saffronferry/state/ResolverResult.java
@@ -1,31 +1,106 @@
 package saffronferry.state;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import saffronferry.Contract.WorkerInfo;
 import saffronferry.Contract.WorkerState;
+import saffronferry.ops.Bans;
 
-/** The list of subchannels as last told: where each is reached, by its id, and the revision to go on from. */
+/**
+ * The list of subchannels as last told, the revision to go on from, and the operators' bans, which lie over
+ * it: the balancer is shown a banned subchannel as draining, whatever the list says of it, and one whose ban
+ * has ended as just started, since operators restart it meanwhile and the list may not tell of that yet.
+ */
 final class ResolverResult {
-    private final Map<String, String> addresses = new HashMap<>();
+    /**
+     * Ids are remembered beyond their time on the list, for operators know a worker that the list has lost.
+     */
+    private static final int MOST_SEEN = 4096;
+
+    private final Map<String, ListUpdate.Entry> entries = new HashMap<>();
+    private final Set<String> seen = new LinkedHashSet<>();
+    private Bans bans = Bans.NONE;
     private long revision;
 
-    void take(ListUpdate update) {
+    /** Takes news of the list in; the result is what the balancer is to see of it. */
+    List<WorkerInfo> take(ListUpdate update) {
         if (update.complete()) {
-            addresses.clear();
+            entries.clear();
         }
+        List<WorkerInfo> shown = new ArrayList<>(update.entries().size());
         for (ListUpdate.Entry e : update.entries()) {
+            String id = e.info().address();
             if (e.info().state() == WorkerState.GONE) {
-                addresses.remove(e.info().address());
+                entries.remove(id);
             } else {
-                addresses.put(e.info().address(), e.address());
+                entries.put(id, e);
+                remember(id);
             }
+            shown.add(shown(e.info()));
         }
         revision = update.revision();
+        return shown;
+    }
+
+    private void remember(String id) {
+        if (seen.add(id) && seen.size() > MOST_SEEN) {
+            seen.remove(seen.iterator().next());
+        }
+    }
+
+    private WorkerInfo shown(WorkerInfo w) {
+        return bans.has(w.address()) && w.state() == WorkerState.IN_SERVICE
+                ? with(w, WorkerState.DRAINING, w.startedAt()) : w;
+    }
+
+    private static WorkerInfo with(WorkerInfo w, WorkerState state, long startedAt) {
+        return new WorkerInfo(w.address(), state, w.kind(), w.zone(), startedAt, w.cell());
+    }
+
+    /** From now on these bans hold; the result is what changes by that in the balancer's eyes. */
+    List<WorkerInfo> ban(Bans next, long now) {
+        Bans before = bans;
+        bans = next;
+        List<WorkerInfo> changed = new ArrayList<>();
+        for (ListUpdate.Entry e : entries.values()) {
+            WorkerInfo w = e.info();
+            if (w.state() == WorkerState.IN_SERVICE && before.has(w.address()) != next.has(w.address())) {
+                changed.add(next.has(w.address()) ? shown(w) : with(w, w.state(), now));
+            }
+        }
+        return changed;
+    }
+
+    Bans bans() {
+        return bans;
+    }
+
+    /** Whether anybody has, or had, a subchannel of this id. */
+    boolean knows(String subchannel) {
+        return seen.contains(subchannel) || bans.has(subchannel);
+    }
+
+    int size() {
+        return entries.size();
+    }
+
+    /** How many of the list are banned, those left out that it shows as draining by itself. */
+    int banned() {
+        int n = 0;
+        for (String id : bans.workers()) {
+            n += entries.containsKey(id) ? 1 : 0;
+        }
+        return n;
     }
 
     /** Null for a subchannel that is not in the list. */
     String address(String subchannel) {
-        return addresses.get(subchannel);
+        ListUpdate.Entry e = entries.get(subchannel);
+        return e == null ? null : e.address();
     }
 
     long revision() {
--- a/src/main/java/saffronferry/state/Rpc.java
+++ b/src/main/java/saffronferry/state/Rpc.java
@@ -7,6 +7,7 @@
 public final class Rpc<M> {
     final long id;
     final String name;
+    final int rpcClass;
     final M message;
     final long deadline;
     final List<CallAttempt> attempts = new ArrayList<>(1);
@@ -15,9 +16,10 @@
     /** The client's side; null once it has its final answer or is gone. */
     Channel channel;
 
-    Rpc(long id, String name, M message, long deadline, Channel channel) {
+    Rpc(long id, String name, int rpcClass, M message, long deadline, Channel channel) {
         this.id = id;
         this.name = name;
+        this.rpcClass = rpcClass;
         this.message = message;
         this.deadline = deadline;
         this.channel = channel;
--- a/src/main/java/saffronferry/wire/Admission.java
+++ b/src/main/java/saffronferry/wire/Admission.java
@@ -45,8 +45,8 @@
 
     Admission(Vertx vertx, BoundedTransport transport) {
         this.vertx = vertx;
-        gate = transport.gate();
-        lobby = transport.lobby();
+        gate = transport.clients().gate();
+        lobby = transport.clients().lobby();
         lobby.onSilent(this::makeRoomIfTight);
     }
 
--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -14,6 +14,7 @@
 import io.vertx.core.impl.transports.JDKTransport;
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
@@ -27,25 +28,27 @@
  * accepting closes the listening socket or ends the thread.
  */
 public class BoundedTransport extends JDKTransport {
-    private final AcceptGate gate;
-    private final Lobby lobby;
+    private final Door clients;
     private final BoundedLog log;
+    private final List<Acceptor> acceptors = new ArrayList<>();
     private EventLoopGroup loops;
-    private Acceptor acceptor;
     private Runnable onListenerLost = () -> { };
 
-    public BoundedTransport(AcceptGate gate, BoundedLog log) {
-        this.gate = gate;
-        lobby = new Lobby(gate);
-        this.log = log;
+    /** By which connections of one purpose come in: who may, and where they wait for their first byte. */
+    record Door(AcceptGate gate, Lobby lobby) {
+        Door(AcceptGate gate) {
+            this(gate, new Lobby(gate));
+        }
     }
 
-    AcceptGate gate() {
-        return gate;
+    /** With the gate of the clients' connections. */
+    public BoundedTransport(AcceptGate gate, BoundedLog log) {
+        clients = new Door(gate);
+        this.log = log;
     }
 
-    Lobby lobby() {
-        return lobby;
+    Door clients() {
+        return clients;
     }
 
     /** Calls back when the listening socket is closed by anything but {@code Vertx.close}. */
@@ -55,9 +58,7 @@
 
     /** To be called when a descriptor is free again, on the event loop. */
     public void freed() {
-        if (acceptor != null) {
-            acceptor.resume();
-        }
+        acceptors.forEach(Acceptor::resume);
     }
 
     @Override
@@ -70,7 +71,14 @@
 
     @Override
     public ChannelFactory<? extends ServerChannel> serverChannelFactory(boolean domainSocket) {
-        return () -> acceptor = new Acceptor();
+        return () -> listener(clients);
+    }
+
+    /** A listening socket, yet to be bound, for what comes in by this door. */
+    ServerChannel listener(Door door) {
+        Acceptor acceptor = new Acceptor(door);
+        acceptors.add(acceptor);
+        return acceptor;
     }
 
     /** The system's call, apart so that tests can make it fail. */
@@ -80,8 +88,15 @@
 
     /** The listening socket. */
     private final class Acceptor extends NioServerSocketChannel {
+        private final AcceptGate gate;
+        private final Lobby lobby;
         private boolean paused;
 
+        Acceptor(Door door) {
+            gate = door.gate;
+            lobby = door.lobby;
+        }
+
         /** Tells the library of none: it hears of those that speak, from {@link #speaks}. */
         @Override
         protected int doReadMessages(List<Object> none) {
@@ -117,7 +132,7 @@
         }
 
         private void speaks(SocketChannel socket, long since, ByteBuf said) {
-            Accepted connection = new Accepted(this, socket, since);
+            Accepted connection = new Accepted(this, socket, since, gate);
             pipeline().fireChannelRead(connection); // the library registers it and sets it up, here and now
             if (connection.isRegistered()) {
                 connection.pipeline().fireChannelRead(said);
@@ -153,16 +168,22 @@
         }
     }
 
-    /** A client's connection that has spoken. */
+    /** A connection that has spoken. */
     final class Accepted extends NioSocketChannel {
         private final long since;
+        private final AcceptGate gate;
         private boolean gone;
 
-        Accepted(Channel parent, SocketChannel socket, long since) {
+        Accepted(Channel parent, SocketChannel socket, long since, AcceptGate gate) {
             super(parent, socket);
+            this.gate = gate;
             this.since = since;
         }
 
+        long since() {
+            return since;
+        }
+
         /** How long it had been connected before it said its first word. */
         long waitedMs() {
             return (System.nanoTime() - since) / 1_000_000;
--- a/src/main/java/saffronferry/wire/ChannelServer.java
+++ b/src/main/java/saffronferry/wire/ChannelServer.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Locale;
 import saffronferry.log.BoundedLog;
+import saffronferry.ops.Drain.Phase;
+import saffronferry.ops.Figures;
 import saffronferry.state.Channel;
 import saffronferry.state.Ledger;
 import saffronferry.state.RpcInfo;
@@ -26,15 +28,17 @@
     private final RpcParser parser;
     private final Ledger<HttpMessage> ledger;
     private final Admission admission;
+    private final Figures figures;
     private final BoundedLog log;
     private boolean ready;
-    private boolean draining;
-    private boolean closing;
+    private Phase phase = Phase.OPEN;
+    private boolean ending;
 
     ChannelServer(Vertx vertx, RpcParser parser, Ledger<HttpMessage> ledger, BoundedTransport transport,
-            BoundedLog log) {
+            Figures figures, BoundedLog log) {
         this.parser = parser;
         this.ledger = ledger;
+        this.figures = figures;
         this.log = log;
         admission = new Admission(vertx, transport);
         // guards against silent connections that nobody counts: where HTTP/2 may be spoken too, a
@@ -59,15 +63,21 @@
         ready = true;
     }
 
-    /** From now on {@code GET /up} no longer says 200; requests are still served. */
-    public void drain() {
-        draining = true;
+    /**
+     * How clients are treated from now on; where the process is ending, what comes to the last one is
+     * refused.
+     */
+    public void drain(Phase next, boolean processEnds) {
+        phase = next;
+        ending = processEnds;
+        if (phase == Phase.EMPTY) {
+            admission.closeIdle();
+        }
     }
 
-    /** Takes nothing new from now on: closes idle connections, and the others after their answers. */
-    public void closeIdle() {
-        closing = true;
-        admission.closeIdle();
+    /** Whether a connection is to be closed once its request has its answer. */
+    private boolean leaving() {
+        return phase.compareTo(Phase.LEAVING) >= 0;
     }
 
     private void handle(HttpServerRequest request) {
@@ -78,7 +88,7 @@
         }
         request.response().endHandler(v -> {
             admission.answered(connection);
-            if (closing) {
+            if (leaving()) {
                 connection.close();
             }
         });
@@ -86,18 +96,20 @@
             framing(request);
             if (request.method() == HttpMethod.GET && "/up".equals(request.path())) {
                 admission.whole(connection);
-                boolean up = ready && !draining;
+                boolean up = ready && phase == Phase.OPEN;
                 request.response().setStatusCode(up ? 200 : 503).end(up ? "up\n" : "not up\n");
                 return;
             }
             if (request.method() != HttpMethod.POST) {
                 throw new BadRequest(405, "jobs arrive by POST");
             }
-            if (closing) {
+            RpcInfo info = parser.parse(request);
+            if (ending && phase == Phase.EMPTY) {
                 // a whole answer, so that a request which crossed the end of listening is not lost
+                figures.answered(info.rpcClass(), Figures.Result.SHED);
                 throw new BadRequest(503, "shutting down");
             }
-            receive(request, parser.parse(request));
+            receive(request, info);
         } catch (BadRequest e) {
             reject(request, e);
         } catch (RuntimeException e) {
@@ -195,7 +207,7 @@
             if (retryAfter > 0) {
                 response.putHeader("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfter / 1e6));
             }
-            if (closing) {
+            if (leaving()) {
                 response.putHeader("Connection", "close");
             }
             response.end(body);
--- a/src/main/java/saffronferry/wire/Lobby.java
+++ b/src/main/java/saffronferry/wire/Lobby.java
@@ -56,6 +56,11 @@
         BoundedTransport.afterNextSelect(loop, guest::hadATurn);
     }
 
+    /** Since when, as {@code System.nanoTime} counts, the oldest has been silent; null where none is. */
+    Long oldestSince() {
+        return silent.isEmpty() ? null : silent.iterator().next().since;
+    }
+
     /** Closes the one that has been silent longest; false where all have spoken or are yet to have a turn. */
     boolean closeOldest() {
         if (silent.isEmpty()) {
--- a/src/main/java/saffronferry/wire/SubchannelClient.java
+++ b/src/main/java/saffronferry/wire/SubchannelClient.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import saffronferry.Contract.Outcome;
 import saffronferry.Contract.Report;
 import saffronferry.limit.AttemptRoom;
@@ -94,6 +95,7 @@
                 r.reset();
                 return;
             }
+            attempt.begun();
             r.putHeader("X-Txn", message.txn());
             r.putHeader("X-Remaining-Ms", Long.toString(Math.max(1, remaining / 1000)));
             if (message.idempotencyKey() != null) {
@@ -101,7 +103,12 @@
             }
             r.exceptionHandler(this::broken);
             r.response().onSuccess(this::answered).onFailure(this::broken);
-            r.end(message.body()).onSuccess(v -> written = true).onFailure(this::broken);
+            r.end(message.body()).onSuccess(v -> written()).onFailure(this::broken);
+        }
+
+        private void written() {
+            written = true;
+            attempt.written();
         }
 
         /** No connection came up: where that is our own want, the balancer is to stop for a while. */
@@ -149,27 +156,30 @@
         }
     }
 
-    /** Asks for the load; tells how that ended, and the load or null. */
-    void probe(String address, BiConsumer<Outcome, Report> told) {
-        Probe probe = new Probe(told);
+    /** Asks for the load if that is still wanted once connected; tells how it ended, and the load or null. */
+    void probe(String address, BooleanSupplier wanted, BiConsumer<Outcome, Report> told) {
+        Probe probe = new Probe(wanted, told);
         probes.dial(HttpMethod.GET, Address.parse(address), "/metrics/load", probe::connected,
                 e -> probe.end(Dialer.unopened(e), null));
     }
 
     private final class Probe {
+        private final BooleanSupplier wanted;
         private final BiConsumer<Outcome, Report> told;
         private final long timer = vertx.setTimer(PROBE_WAIT_MS, t -> expire());
         private HttpClientRequest request;
         private boolean over;
 
-        Probe(BiConsumer<Outcome, Report> told) {
+        Probe(BooleanSupplier wanted, BiConsumer<Outcome, Report> told) {
+            this.wanted = wanted;
             this.told = told;
         }
 
         void connected(HttpClientRequest r) {
             request = r;
-            if (over) {
+            if (over || !wanted.getAsBoolean()) {
                 r.reset();
+                end(Outcome.CANCELLED, null);
                 return;
             }
             r.exceptionHandler(e -> end(Outcome.RESET, null));
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -12,6 +12,7 @@
 import saffronferry.limit.AttemptRoom;
 import saffronferry.limit.Descriptors;
 import saffronferry.log.BoundedLog;
+import saffronferry.ops.Figures;
 import saffronferry.state.CallAttempt;
 import saffronferry.state.Clock;
 import saffronferry.state.Ledger;
@@ -36,12 +37,12 @@
     private final Ledger<HttpMessage> ledger;
     private final ChannelServer server;
 
-    public Wire(Vertx vertx, Options o, Balancer balancer, Descriptors descriptors,
+    public Wire(Vertx vertx, Options o, Balancer balancer, Figures figures, Descriptors descriptors,
             BoundedTransport transport, BoundedLog log) {
         this.vertx = vertx;
         this.log = log;
         peerListen = o.peerListen();
-        ledger = new Ledger<>(balancer, new Clock(), this);
+        ledger = new Ledger<>(balancer, new Clock(), this, figures);
         AttemptRoom room = new AttemptRoom(descriptors, open -> ledger.report(new News.Room(open)));
         descriptors.onFree(() -> room.look(System.nanoTime() / 1_000_000));
         subchannels = new SubchannelClient(vertx, o.connectTimeout(),
@@ -51,7 +52,7 @@
         peers = new PeerSocket(vertx, o.peers(),
                 (peer, bytes) -> ledger.report(new News.PeerSaid(peer, bytes)), log);
         server = new ChannelServer(vertx, new RpcParser(o.classes(), o.tenants()), ledger,
-                transport, log);
+                transport, figures, log);
     }
 
     /** Opens the peers' socket, which the first decisions already use; then takes the known list in. */
@@ -92,7 +93,7 @@
 
     @Override
     public void probe(String subchannel, String address) {
-        subchannels.probe(address,
+        subchannels.probe(address, () -> !ledger.bans().has(subchannel),
                 (outcome, load) -> ledger.report(new News.Probed(subchannel, outcome, load)));
     }
 
--- a/src/test/java/saffronferry/BoundariesTest.java
+++ b/src/test/java/saffronferry/BoundariesTest.java
@@ -14,11 +14,11 @@
 
     @Test
     void decisionsDoNoInputOrOutput() {
-        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.lab.check",
-                "saffronferry.lab.policy").should().dependOnClassesThat().resideInAnyPackage("io..", "java.net..",
+        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.ops",
+                "saffronferry.lab.check", "saffronferry.lab.policy").should().dependOnClassesThat().resideInAnyPackage("io..", "java.net..",
                 "java.nio..", "java.io..", "java.util.concurrent..", "java.time..").check(ALL);
-        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.lab.check",
-                "saffronferry.lab.policy").should().callMethod(System.class, "nanoTime").orShould()
+        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.ops",
+                "saffronferry.lab.check", "saffronferry.lab.policy").should().callMethod(System.class, "nanoTime").orShould()
                 .callMethod(System.class, "currentTimeMillis").check(ALL);
     }
 
@@ -32,9 +32,19 @@
                 .resideInAnyPackage("saffronferry.lifecycle..", "saffronferry.wire..").check(ALL);
     }
 
+    @Test
+    void whatOperatorsCallForIsDecidedWithoutSocketsAndTheirServerDecidesNothing() {
+        noClasses().that().resideInAPackage("saffronferry.ops").should().dependOnClassesThat()
+                .resideInAnyPackage("saffronferry", "saffronferry.state..", "saffronferry.limit..",
+                        "saffronferry.wire..", "saffronferry.lifecycle..").check(ALL);
+        noClasses().that().haveSimpleNameStartingWith("ConsoleServer").should().dependOnClassesThat()
+                .resideInAnyPackage("saffronferry.ops..", "saffronferry.state..", "saffronferry.lifecycle..")
+                .check(ALL);
+    }
+
     @Test
     void whatServeLoadsDependsOnNothingOfTheLaboratory() {
-        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.log",
+        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.ops", "saffronferry.log",
                 "saffronferry.settings", "saffronferry.state", "saffronferry.wire", "saffronferry.lifecycle",
                 "saffronferry.adapter").should().dependOnClassesThat().resideInAnyPackage("saffronferry.lab..",
                 "saffronferry.cli..", "picocli..", "org.tomlj..", "org.HdrHistogram..", "org.apache.commons..")
--- a/src/test/java/saffronferry/lab/check/Stage.java
+++ b/src/test/java/saffronferry/lab/check/Stage.java
@@ -20,6 +20,7 @@
 import saffronferry.state.CallAttempt;
 import saffronferry.state.Channel;
 import saffronferry.state.Clock;
+import saffronferry.ops.Figures;
 import saffronferry.state.Ledger;
 import saffronferry.state.ListUpdate;
 import saffronferry.state.Ports;
@@ -207,7 +208,7 @@
                         public long now() {
                             return START + now;
                         }
-                    }, this);
+                    }, this, new Figures(classes.stream().map(JobClass::name).toList()));
         }
 
         void told(List<WorkerInfo> entries, boolean whole) {
--- a/src/test/java/saffronferry/lifecycle/ConfigTest.java
+++ b/src/test/java/saffronferry/lifecycle/ConfigTest.java
@@ -1,6 +1,7 @@
 package saffronferry.lifecycle;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertThrows;
 import static org.junit.Assert.assertTrue;
 
@@ -13,13 +14,15 @@
 
 /** What is wrong with a configuration is said with the name of the key. */
 public class ConfigTest {
+    private static final Path HERE = Path.of(".");
+
     private static JSONObject example() throws IOException {
         return new JSONObject(Files.readString(Path.of("examples/config.json")));
     }
 
     @Test
     public void theExampleIsRead() throws IOException {
-        Config c = new Config(example());
+        Config c = new Config(example(), HERE);
         assertEquals("127.0.0.1:9000", c.listen.toString());
         assertEquals(2, c.known.entries().size());
         assertEquals(2_000_000, c.settings.settings.maxRetryAfter());
@@ -28,10 +31,12 @@
     @Test
     public void defaultsStandInForWhatMayBeMissing() throws IOException {
         JSONObject json = example();
-        for (String key : new String[] {"peer_listen", "peers", "limits", "known", "seed"}) {
+        for (String key : new String[] {"peer_listen", "peers", "limits", "known", "seed", "console"}) {
             json.remove(key);
         }
-        assertEquals(1024, new Config(json).sockets);
+        Config c = new Config(json, HERE);
+        assertEquals(1024, c.sockets);
+        assertNull(c.console);
     }
 
     @Test
@@ -39,22 +44,39 @@
         Object[][] cases = {
             {"listen", "nowhere"}, {"listen", null}, {"discovery", "a:b"}, {"discovery", 7}, {"peer_listen", ""},
             {"peers", "[\"x\"]"}, {"seed", "xyz"}, {"settings", null}, {"settings", "{}"},
-            {"known", "{}"}, {"limits", "{\"sockets\":3}"},
+            {"console", 9}, {"console", "9090"}, {"known", "{}"}, {"limits", "{\"sockets\":3}"},
         };
         for (Object[] c : cases) {
             JSONObject json = example();
             Object value = c[1] instanceof String s && (s.startsWith("{") || s.startsWith("["))
                     ? new org.json.JSONTokener(s).nextValue() : c[1];
             json.put((String) c[0], value);
-            Exception e = assertThrows(c[0] + "=" + c[1], IllegalArgumentException.class, () -> new Config(json));
+            Exception e = assertThrows(c[0] + "=" + c[1], IllegalArgumentException.class, () -> new Config(json, HERE));
             assertTrue(e.getMessage(), e.getMessage().startsWith("configuration key " + c[0]));
         }
         JSONObject json = example();
         json.getJSONObject("settings").getJSONObject("rules").put("cold", "long");
-        Exception e = assertThrows(IllegalArgumentException.class, () -> new Config(json));
+        Exception e = assertThrows(IllegalArgumentException.class, () -> new Config(json, HERE));
         assertTrue(e.getMessage(), e.getMessage().contains("settings") && e.getMessage().contains("cold"));
     }
 
+    @Test
+    public void aVariableStandsInForTheConsole() throws IOException {
+        Path file = Files.createTempFile("config", ".json");
+        try {
+            JSONObject json = example();
+            Files.writeString(file, json.toString());
+            Map<String, String> environment = Map.of("BALANCER_CONFIG", file.toString(),
+                    "BALANCER_CONSOLE", "127.0.0.1:7");
+            assertEquals("127.0.0.1:9090", Config.read(environment).console.toString());
+            json.remove("console");
+            Files.writeString(file, json.toString());
+            assertEquals("127.0.0.1:7", Config.read(environment).console.toString());
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     @Test
     public void theFileItselfIsNamed() {
         for (Map<String, String> environment : new Map[] {Map.of(), Map.of("BALANCER_CONFIG", "/none"),
--- a/src/test/java/saffronferry/lifecycle/CrowdTest.java
+++ b/src/test/java/saffronferry/lifecycle/CrowdTest.java
@@ -180,7 +180,7 @@
                 return super.accept(from);
             }
         }
-        start(new Node(new Config(config), new BoundedLog(), Failing::new));
+        start(new Node(new Config(config, folder), new BoundedLog(), Failing::new));
         return calls;
     }
 
--- a/src/test/java/saffronferry/lifecycle/SocketsFixture.java
+++ b/src/test/java/saffronferry/lifecycle/SocketsFixture.java
@@ -14,12 +14,14 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.json.JSONArray;
 import org.json.JSONObject;
 import org.junit.After;
@@ -36,6 +38,8 @@
     DatagramSocket peer;
     int asked;
     JSONObject config;
+    /** The dispatcher's own temporary folder. */
+    Path folder;
 
     @Before
     public void setUp() throws IOException {
@@ -46,7 +50,8 @@
         peer.setSoTimeout(3000);
         config = new JSONObject(Files.readString(Path.of("examples/config.json")));
         int udp = freePort();
-        config.put("listen", "127.0.0.1:" + freePort()).put("discovery", discovery.address())
+        folder = Files.createTempDirectory("saffronferry");
+        config.put("listen", "127.0.0.1:" + freePort()).put("console", "127.0.0.1:" + freePort()).put("discovery", discovery.address())
                 .put("peer_listen", "127.0.0.1:" + udp)
                 .put("peers", new JSONArray().put("127.0.0.1:" + udp).put("127.0.0.1:" + peer.getLocalPort()));
         config.getJSONObject("settings").put("peersTotal", 2);
@@ -58,6 +63,12 @@
         for (int i = open.size(); i > 0; i--) {
             open.get(i - 1).close();
         }
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(folder);
     }
 
     <T extends AutoCloseable> T keep(T resource) {
@@ -104,7 +115,11 @@
     }
 
     void start() throws Exception {
-        start(new Node(new Config(config)));
+        start(node());
+    }
+
+    Node node() {
+        return new Node(new Config(config, folder));
     }
 
     void start(Node node) throws Exception {
@@ -188,7 +203,7 @@
             command.addAll(List.of("taskset", "-c", "0"));
         }
         command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xmx64m",
+                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-Xmx64m", "-Djava.io.tmpdir=" + folder,
                 "-cp", System.getProperty("java.class.path"), main));
         command.addAll(List.of(arguments));
         ProcessBuilder builder = new ProcessBuilder(command);
@@ -209,6 +224,26 @@
         });
     }
 
+    /** One operator's call: the status, a space and the text. */
+    String call(String method, String path) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + config.getString("console") + path))
+                .method(method, HttpRequest.BodyPublishers.noBody()).timeout(Duration.ofSeconds(5)).build();
+        HttpResponse<String> answer = client.send(request, HttpResponse.BodyHandlers.ofString());
+        return answer.statusCode() + " " + answer.body();
+    }
+
+    /** Makes a call that is owed a yes. */
+    void yes(String path) throws Exception {
+        String answer = call("PUT", path);
+        assertTrue(answer, answer.startsWith("2"));
+    }
+
+    /** One of the figures that operators read. */
+    long figure(String name) throws Exception {
+        return call("GET", "/ops/stats").lines().filter(l -> l.startsWith(name + " "))
+                .mapToLong(l -> Long.parseLong(l.substring(name.length() + 1))).findFirst().orElseThrow();
+    }
+
     int port() {
         return Integer.parseInt(config.getString("listen").split(":")[1]);
     }
--- /dev/null
+++ b/src/test/java/saffronferry/ops/OpsTest.java
@@ -0,0 +1,135 @@
+package saffronferry.ops;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import saffronferry.ops.Drain.Phase;
+import saffronferry.ops.Figures.Result;
+
+/** Figures, bans and the drain's states, without sockets or files. */
+class OpsTest {
+    @Test
+    void figuresAreWrittenInTheOperatorsForm() {
+        Figures figures = new Figures(List.of("page", "gift"));
+        figures.answered(0, Result.OK);
+        figures.answered(0, Result.OK);
+        figures.answered(1, Result.SHED);
+        figures.answered(1, Result.ERRORS);
+        figures.tried(1);
+        figures.answered(7, Result.OK); // of no class: counts nowhere and breaks nothing
+        figures.tried(-1);
+        List<String> lines = figures.text(new Figures.Now(14, 9, 2)).lines().filter(l -> !l.startsWith("#")).toList();
+        assertEquals(List.of("app_responses{kind=\"page\",result=\"ok\"} 2",
+                "app_responses{kind=\"page\",result=\"shed\"} 0", "app_responses{kind=\"page\",result=\"errors\"} 0",
+                "app_responses{kind=\"gift\",result=\"ok\"} 0", "app_responses{kind=\"gift\",result=\"shed\"} 1",
+                "app_responses{kind=\"gift\",result=\"errors\"} 1", "app_tries{kind=\"page\"} 0",
+                "app_tries{kind=\"gift\"} 1", "app_active 14", "app_pool_size 9", "app_pool_ejected 2"), lines);
+    }
+
+    @Test
+    void aClassCannotEndItsLabelEarly() {
+        String text = new Figures(List.of("a\"} 9\nb\\")).text(new Figures.Now(0, 0, 0));
+        assertTrue(text.contains("app_tries{kind=\"a\\\"} 9\\nb\\\\\"} 0\n"), text);
+    }
+
+    @Test
+    void bansHaveNoCountAndSurviveBeingWritten() {
+        Bans bans = Bans.NONE.with("a").with("a").with("b\n\"c").without("x");
+        assertEquals(bans, Bans.read(bans.text()));
+        assertEquals(Set.of("b\n\"c"), bans.without("a").workers());
+        assertEquals(Bans.NONE, Bans.read(Bans.NONE.text()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "{\"version\":1,\"down\":[\"a\"", "{\"version\":1}", "{\"down\":[]}", "[]",
+        "{\"version\":2,\"down\":[]}", "{\"version\":1,\"down\":[{}]}", "\u0000\u0000"})
+    void aDamagedFileOfBansIsNamedAsSuch(String text) {
+        assertThrows(IllegalArgumentException.class, () -> Bans.read(text));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, TURNING, 300", "299, TURNING, 1", "300, LEAVING, 900", "1199, LEAVING, 1", "1200, EMPTY, -1",
+        "100000, EMPTY, -1"})
+    void aCallEmptiesInSteps(long after, Phase phase, long untilNext) {
+        Drain drain = new Drain();
+        assertEquals(Phase.OPEN, drain.phase(5));
+        drain.start(5);
+        drain.start(5 + after); // a repeated call starts nothing anew
+        assertEquals(phase, drain.phase(5 + after));
+        assertEquals(untilNext, drain.untilNext(5 + after));
+        assertTrue(drain.stop());
+        assertEquals(Phase.OPEN, drain.phase(5 + after));
+        assertEquals(-1, drain.untilNext(5 + after));
+    }
+
+    @Test
+    void theEndIsNotTakenBackAndWhicheverIsFurtherCounts() {
+        Drain drain = new Drain();
+        drain.start(0);
+        drain.end(1_000, 2_900, false);
+        drain.end(2_000, 2_900, true); // a second signal changes nothing
+        assertEquals(Phase.LEAVING, drain.phase(1_100));
+        assertEquals(Phase.EMPTY, drain.phase(1_200));
+        assertFalse(drain.stop());
+        assertEquals(Phase.TURNING, drain.phase(1_300));
+        assertEquals(2_600, drain.untilNext(1_300));
+        assertEquals(Phase.EMPTY, drain.phase(3_900));
+    }
+
+    @Test
+    void whereAnotherProcessServesConnectionsLeaveAtOnce() {
+        Drain drain = new Drain();
+        drain.end(1_000, 2_900, true);
+        assertEquals(Phase.LEAVING, drain.phase(1_000));
+        assertEquals(Phase.EMPTY, drain.phase(3_900));
+    }
+
+    /** Whatever is called in whatever order: no yes while a drain holds, and the phase is waited for rightly. */
+    @Test
+    void anySequenceOfCallsKeepsTheStatesInOrder() {
+        for (int seed = 0; seed < 200; seed++) {
+            Random random = new Random(seed);
+            Drain drain = new Drain();
+            boolean called = false;
+            boolean ended = false;
+            long now = random.nextInt(1_000);
+            for (int i = 0; i < 100; i++) {
+                Phase before = drain.phase(now);
+                long next = drain.untilNext(now);
+                long step = 1 + random.nextInt(700);
+                if (next < 0 || step < next) {
+                    assertEquals(before, drain.phase(now + step - 1), "it changed though none was told");
+                }
+                now += step;
+                switch (random.nextInt(12)) {
+                    case 0, 1 -> {
+                        drain.start(now);
+                        called = true;
+                    }
+                    case 2, 3 -> {
+                        assertEquals(!ended, drain.stop());
+                        called = false;
+                    }
+                    case 4 -> {
+                        if (i > 80) {
+                            drain.end(now, 2_900, random.nextBoolean());
+                            ended = true;
+                        }
+                    }
+                    default -> { }
+                }
+                assertEquals(!called && !ended, drain.phase(now) == Phase.OPEN);
+                assertEquals(ended, drain.ending());
+            }
+        }
+    }
+}
--- a/src/test/java/saffronferry/state/AttemptProbe.java
+++ b/src/test/java/saffronferry/state/AttemptProbe.java
@@ -5,7 +5,7 @@
 
 /** A call attempt that writes down what it was told. */
 public final class AttemptProbe implements CallAttempt.Listener {
-    public final CallAttempt attempt = new CallAttempt(1, 0, 0, this);
+    public final CallAttempt attempt = new CallAttempt(1, 0, 0, 0, null, this);
     public String heard = "";
 
     @Override
@@ -13,6 +13,11 @@
         heard += started ? "started" : "running";
     }
 
+    @Override
+    public void written(CallAttempt a) {
+        heard += "written ";
+    }
+
     @Override
     public void ended(CallAttempt a, Outcome outcome, String result, Report load) {
         heard += outcome + " once" + (result == null ? "" : " " + result);
--- a/src/test/java/saffronferry/state/LedgerTest.java
+++ b/src/test/java/saffronferry/state/LedgerTest.java
@@ -14,6 +14,7 @@
 import saffronferry.Contract.WorkerInfo;
 import saffronferry.Contract.WorkerState;
 import saffronferry.News;
+import saffronferry.ops.Figures;
 import saffronferry.settings.SettingsReader;
 
 /** The ledger without sockets: one final answer whatever fails, and nothing kept of what is over. */
@@ -24,6 +25,7 @@
     private final TreeMap<Long, Runnable> timers = new TreeMap<>();
     private boolean broken;
     private Error error;
+    private final Figures figures = new Figures(List.of("directory-page", "record-gift"));
     private Ledger<String> ledger;
 
     private final Channel channel = new Channel() {
@@ -87,7 +89,7 @@
     private void begin() throws Exception {
         JSONObject config = new JSONObject(Files.readString(Path.of("examples/config.json")));
         ledger = new Ledger<>(new Balancer(new SettingsReader(1, config.getJSONObject("settings")).settings),
-                new Clock(), ports);
+                new Clock(), ports, figures);
         ledger.resolved(new ListUpdate(1, true, List.of(new ListUpdate.Entry(
                 new WorkerInfo("a", WorkerState.IN_SERVICE, 0, 0, 0, 1), "127.0.0.1:1"))), true);
         timers.clear();
