Replace the process under load: two at one address, the queue taken before the close

Cause: a second process found the clients' address taken and exited with 1; the old one's end lost 8 jobs.

Change: SO_REUSEPORT on the clients' socket and the datagrams'; a mark of who serves (Succession); at SIGTERM a process that is replaced takes in its queue, closes its listening socket and its datagrams' socket, and lets kept connections go with an answer that says so. The new one warms itself until a request of its own has come back to it, for the kernel may deal it to the old one.

Found on the way, by a test with two processes under load (1 request at the door in 2 upgrades): - a listening socket that a selector knows is closed only at the selector's next turn, and takes connections until then, which are reset: its key is cancelled first (Acceptor.handOver); - closing the library's channel took down the set-up of connections that had been accepted and were yet to speak: the library is not told; - whether an answer is the last on its connection was decided twice, before and after it was written. Ruled out: idle connections closed too early (they stay 2.9 s), and the new process (no error there).

--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -51,6 +51,8 @@
     private Watchdog watchdog;
     private volatile boolean closing;
     private BanFile banFile;
+    /** Null where there is no console, and so nobody who would replace a process under load. */
+    private Succession succession;
     private Bans bans = Bans.NONE;
     private boolean ready;
     private boolean lastIntake;
@@ -80,6 +82,7 @@
         if (config.console != null) {
             banFile = new BanFile(config.folder, config.fileName());
             bans = Console.atStart(banFile, log);
+            succession = new Succession(config.folder, config.fileName());
         }
         transport.onListenerLost(() -> unable("the listening socket is closed"));
     }
@@ -145,6 +148,7 @@
         return console.compose(v -> wire.begin(config.known))
                 .compose(v -> wire.server().listen(config.listen))
                 .compose(v -> wire.warmUp(config.listen))
+                .compose(v -> announce())
                 .onSuccess(v -> {
                     ready = true;
                     wire.server().ready();
@@ -152,6 +156,21 @@
                 }).mapEmpty();
     }
 
+    /** Tells a process that serves already that it is replaced: once we say yes, its end may come. */
+    private Future<Void> announce() {
+        if (succession == null) {
+            return Future.succeededFuture();
+        }
+        return vertx.<Void>executeBlocking(() -> {
+            succession.serving();
+            return null;
+        }).recover(e -> {
+            // guards a start against a folder that cannot be written: only an upgrade would lose by it
+            log.line("not announced", String.valueOf(e));
+            return Future.succeededFuture();
+        });
+    }
+
     private Future<Void> openConsole() {
         Console desk = new Console(vertx, wire.ledger(), figures, banFile, new Console.Floor() {
             @Override
@@ -193,10 +212,14 @@
 
     /** SIGTERM runs this: the process ends when it returns. */
     void awaitDrain() {
-        context.runOnContext(v -> drain());
+        boolean elsewhere = succession != null && succession.replaced();
+        context.runOnContext(v -> drain(elsewhere));
         try {
             // guards against a loop that hangs: what it holds cannot be answered, and SIGKILL would come
             drained.await(LONGEST_MS + DRAIN_SLACK_MS, TimeUnit.MILLISECONDS);
+            if (succession != null) {
+                succession.ended();
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -206,12 +229,16 @@
      * Clients keep using the connections they have, and no other dispatcher may be near: these are served for
      * as long as what they ask can still be answered before SIGKILL. What was open before has its full time.
      */
-    private void drain() {
+    private void drain(boolean elsewhere) {
         long longest = config.settings.settings.classes().stream().mapToLong(c -> c.deadline() / 1000).max()
                 .orElse(LONGEST_MS);
         long counted = Math.max(STILL_LISTEN_MS, Math.min(longest, LONGEST_MS));
         log.line("draining", wire.ledger().unanswered() + " RPCs are open");
-        drain.end(now(), counted - LAST_INTAKE_MS, false);
+        drain.end(now(), counted - LAST_INTAKE_MS, elsewhere);
+        if (elsewhere) {
+            log.line("replaced", "another process serves at " + config.listen);
+            wire.handOver();
+        }
         followDrain();
         vertx.setTimer(STILL_LISTEN_MS, t ->
                 wire.ledger().endWithin(counted + AFTER_LONGEST_MS - STILL_LISTEN_MS));
@@ -220,7 +247,7 @@
     /** Has clients treated as the drain's phase says, now and whenever it changes by itself. */
     private void followDrain() {
         Drain.Phase phase = drain.phase(now());
-        wire.server().drain(phase, drain.ending());
+        wire.server().drain(phase, drain.ending(), drain.elsewhere());
         long next = drain.untilNext(now());
         if (next >= 0) {
             vertx.setTimer(Math.max(1, next), t -> followDrain());
--- a/src/main/java/saffronferry/ops/Drain.java
+++ b/src/main/java/saffronferry/ops/Drain.java
@@ -25,6 +25,7 @@
     private boolean called;
     private long calledAt;
     private boolean ending;
+    private boolean elsewhere;
     private long leavesAt;
     private long emptyAt;
 
@@ -47,6 +48,7 @@
     public void end(long now, long keptMs, boolean elsewhere) {
         if (!ending) {
             ending = true;
+            this.elsewhere = elsewhere;
             leavesAt = now + (elsewhere ? 0 : keptMs);
             emptyAt = now + keptMs;
         }
@@ -56,6 +58,11 @@
         return ending;
     }
 
+    /** Whether the process ends and another one serves at its address. */
+    public boolean elsewhere() {
+        return elsewhere;
+    }
+
     public Phase phase(long now) {
         Phase byCall = !called ? Phase.OPEN
                 : at(now, calledAt + TURNED, calledAt + EMPTIED);
--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -8,11 +8,18 @@
 import io.netty.channel.ServerChannel;
 import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.nio.NioEventLoop;
+import io.netty.channel.socket.DatagramChannel;
+import io.netty.channel.socket.InternetProtocolFamily;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.internal.SocketUtils;
 import io.vertx.core.impl.transports.JDKTransport;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.NetworkChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,6 +35,10 @@
  * accepting closes the listening socket or ends the thread.
  */
 public class BoundedTransport extends JDKTransport {
+    /** How often, and when again, a queue of clients is tried that waits for descriptors. */
+    private static final int MOST_HAND_OVERS = 50;
+    private static final long HAND_OVER_AGAIN_MS = 20;
+
     private final Door clients;
     private final BoundedLog log;
     private final List<Acceptor> acceptors = new ArrayList<>();
@@ -61,6 +72,37 @@
         acceptors.forEach(Acceptor::resume);
     }
 
+    /** Gives the clients' address up to another process that listens there. */
+    void handOver() {
+        acceptors.stream().filter(a -> a.gate == clients.gate).forEach(a -> a.handOver(MOST_HAND_OVERS));
+    }
+
+    /** Two processes, the one about to replace the other, listen at the same address. */
+    private static void shareAddress(NetworkChannel socket) {
+        try {
+            if (socket.supportedOptions().contains(StandardSocketOptions.SO_REUSEPORT)) {
+                socket.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public DatagramChannel datagramChannel(InternetProtocolFamily family) {
+        return shared(new NioDatagramChannel(family));
+    }
+
+    @Override
+    public DatagramChannel datagramChannel() {
+        return shared(new NioDatagramChannel());
+    }
+
+    private static DatagramChannel shared(NioDatagramChannel channel) {
+        channel.config().setOption(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        return channel;
+    }
+
     @Override
     public EventLoopGroup eventLoopGroup(int type, int threads, ThreadFactory factory, int ioRatio) {
         if (loops == null) {
@@ -91,10 +133,41 @@
         private final AcceptGate gate;
         private final Lobby lobby;
         private boolean paused;
+        private int taken;
 
         Acceptor(Door door) {
             gate = door.gate;
             lobby = door.lobby;
+            shareAddress(javaChannel());
+        }
+
+        /**
+         * Takes in what waits in the system's queue, whose connections would be reset with the socket, and
+         * closes the socket in the same breath. The selector lets go of it first: a socket that a selector
+         * knows is closed only at the selector's next turn, and takes connections until then. The library is
+         * not told of the close, for it still sets up those that have been accepted and are yet to speak.
+         */
+        void handOver(int tries) {
+            selectionKey().cancel();
+            afterNextSelect(eventLoop(), () -> {
+                int before;
+                paused = false;
+                do {
+                    before = taken;
+                    acceptOne();
+                } while (taken > before);
+                if (paused && tries > 1) {
+                    // for want of descriptors: until others end, newcomers wait on in the queue
+                    eventLoop().schedule(() -> handOver(tries - 1), HAND_OVER_AGAIN_MS,
+                            TimeUnit.MILLISECONDS);
+                    return;
+                }
+                try {
+                    javaChannel().close();
+                } catch (IOException e) {
+                    log.line("listening socket not closed", e.getMessage());
+                }
+            });
         }
 
         /** Tells the library of none: it hears of those that speak, from {@link #speaks}. */
@@ -119,6 +192,7 @@
                     return false;
                 }
                 gate.accepted();
+                taken++;
                 lobby.enter((NioEventLoop) eventLoop(), socket, this::speaks);
                 return true;
             } catch (IOException | RuntimeException | Error e) {
--- a/src/main/java/saffronferry/wire/ChannelServer.java
+++ b/src/main/java/saffronferry/wire/ChannelServer.java
@@ -33,6 +33,8 @@
     private boolean ready;
     private Phase phase = Phase.OPEN;
     private boolean ending;
+    private boolean elsewhere;
+    private boolean heard;
 
     ChannelServer(Vertx vertx, RpcParser parser, Ledger<HttpMessage> ledger, BoundedTransport transport,
             Figures figures, BoundedLog log) {
@@ -64,12 +66,13 @@
     }
 
     /**
-     * How clients are treated from now on; where the process is ending, what comes to the last one is
-     * refused.
+     * How clients are treated from now on. Where the process ends, what comes at the very last is refused;
+     * where another process serves at our address, {@code /up} goes on saying yes for it.
      */
-    public void drain(Phase next, boolean processEnds) {
+    public void drain(Phase next, boolean processEnds, boolean servedElsewhere) {
         phase = next;
         ending = processEnds;
+        elsewhere = servedElsewhere;
         if (phase == Phase.EMPTY) {
             admission.closeIdle();
         }
@@ -80,15 +83,27 @@
         return phase.compareTo(Phase.LEAVING) >= 0;
     }
 
+    /** Whether any request has come. */
+    boolean heard() {
+        return heard;
+    }
+
     private void handle(HttpServerRequest request) {
+        heard = true;
         HttpConnection connection = request.connection();
         request.exceptionHandler(e -> { });
         if (!admission.begin(connection, () -> reject(request, new BadRequest(408, "too slow")))) {
             return;
         }
+        request.response().headersEndHandler(v -> {
+            // guards a client against a connection that ends without having been told so in the answer
+            if (leaving()) {
+                request.response().putHeader("Connection", "close");
+            }
+        });
         request.response().endHandler(v -> {
             admission.answered(connection);
-            if (leaving()) {
+            if ("close".equals(request.response().headers().get("Connection"))) {
                 connection.close();
             }
         });
@@ -96,7 +111,7 @@
             framing(request);
             if (request.method() == HttpMethod.GET && "/up".equals(request.path())) {
                 admission.whole(connection);
-                boolean up = ready && phase == Phase.OPEN;
+                boolean up = ready && (phase == Phase.OPEN || elsewhere);
                 request.response().setStatusCode(up ? 200 : 503).end(up ? "up\n" : "not up\n");
                 return;
             }
@@ -207,9 +222,6 @@
             if (retryAfter > 0) {
                 response.putHeader("Retry-After", String.format(Locale.ROOT, "%.3f", retryAfter / 1e6));
             }
-            if (leaving()) {
-                response.putHeader("Connection", "close");
-            }
             response.end(body);
         }
     }
--- a/src/main/java/saffronferry/wire/PeerSocket.java
+++ b/src/main/java/saffronferry/wire/PeerSocket.java
@@ -21,6 +21,7 @@
     private final Map<String, Integer> numbers = new HashMap<>();
     private final BiConsumer<Integer, byte[]> heard;
     private final BoundedLog log;
+    private boolean closed;
 
     PeerSocket(Vertx vertx, List<Address> peers, BiConsumer<Integer, byte[]> heard, BoundedLog log) {
         this.peers = peers;
@@ -38,7 +39,16 @@
         return socket.listen(at.port(), at.host());
     }
 
+    /** Leaves all datagrams to another process at our address. */
+    void close() {
+        closed = true;
+        socket.close();
+    }
+
     void tell(int peer, byte[] bytes) {
+        if (closed) {
+            return;
+        }
         // guards the limit that voids a run, whoever made the message
         if (peer < 0 || peer >= peers.size() || bytes.length > MOST_BYTES) {
             log.line("datagram not sent", bytes.length + " bytes to peer " + peer);
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -27,9 +27,11 @@
                           double connectTimeout) { }
 
     private static final long WARM_UP_MS = 500;
+    private static final int MOST_WARM_UPS = 8;
 
     private final Vertx vertx;
     private final BoundedLog log;
+    private final BoundedTransport transport;
     private final SubchannelClient subchannels;
     private final DiscoveryWatch discovery;
     private final PeerSocket peers;
@@ -41,6 +43,7 @@
             BoundedTransport transport, BoundedLog log) {
         this.vertx = vertx;
         this.log = log;
+        this.transport = transport;
         peerListen = o.peerListen();
         ledger = new Ledger<>(balancer, new Clock(), this, figures);
         AttemptRoom room = new AttemptRoom(descriptors, open -> ledger.report(new News.Room(open)));
@@ -67,12 +70,29 @@
      */
     public Future<Void> warmUp(Address self) {
         Promise<Void> done = Promise.promise();
-        HttpMessage message = new HttpMessage(HttpMethod.POST, "/", "warm-up", null, Buffer.buffer());
-        subchannels.start(message, self.toString(), 0, CallAttempt.unheard(done::tryComplete));
+        warmUp(self, done, MOST_WARM_UPS);
         vertx.setTimer(WARM_UP_MS, t -> done.tryComplete());
         return done.future();
     }
 
+    private void warmUp(Address self, Promise<Void> done, int left) {
+        HttpMessage message = new HttpMessage(HttpMethod.POST, "/", "warm-up", null, Buffer.buffer());
+        subchannels.start(message, self.toString(), 0, CallAttempt.unheard(() -> {
+            // guards against a start that is cold since the process to be replaced has had the request
+            if (server.heard() || left <= 1) {
+                done.tryComplete();
+            } else {
+                warmUp(self, done, left - 1);
+            }
+        }));
+    }
+
+    /** Another process serves at our addresses: takes what waits there, and leaves them to it. */
+    public void handOver() {
+        peers.close();
+        transport.handOver();
+    }
+
     /** Asks another discovery from now on; the list held, the subchannels and the RPCs stay. */
     public void follow(Address next) {
         discovery.follow(next);
