Two processes of an upgrade tell each other their jobs and what they learned

Cause: a new process learned 0.4 to 2.9 slots where workers have 3.7 and 4.7, since the old one's jobs falsified the reports (Dispatcher.learn: free slots plus our own jobs), and both filled the same slots. For 10 to 15 s up to 14 jobs were held beside idle slots.

Change: while two live, each writes ten times a second the slots its jobs take and what it has learned (Succession.exchange, on the blocking thread); the module counts the other's jobs as it does those of peers, and a process that knows nothing begins with what it is told. Each plans for its part of the descriptors meanwhile (Descriptors.share).

--- a/src/main/java/saffronferry/Balancer.java
+++ b/src/main/java/saffronferry/Balancer.java
@@ -37,6 +37,8 @@
             module.peerMessage(now, s.peer(), s.bytes());
         } else if (news instanceof News.Resolved r) {
             module.workers(now, r.kind(), r.entries());
+        } else if (news instanceof News.RunsBeside b) {
+            module.beside(now, b.other());
         } else if (news instanceof News.Room r) {
             module.room(now, r.open());
         } else {
@@ -51,6 +53,11 @@
         return steps.take();
     }
 
+    /** What another process of the same dispatcher should know while it runs beside this one. */
+    public Beside beside() {
+        return module.beside();
+    }
+
     /** How many subchannels in service it avoids by its own choice. */
     public int avoided() {
         return module.avoided();
--- a/src/main/java/saffronferry/Contract.java
+++ b/src/main/java/saffronferry/Contract.java
@@ -87,6 +87,12 @@
         /** Asking for the list failed or the subscription broke; the old list stays in force. */
         void workersUnavailable(long now);
 
+        /** What another process of the same dispatcher should know while it runs beside this one. */
+        Beside beside();
+
+        /** What such a process tells; {@link Beside#NOBODY} when it is gone. */
+        void beside(long now, Beside other);
+
         /** How many workers in service are given no jobs for now, but for a trial. */
         int avoided();
 
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -30,11 +30,8 @@
     private static final double COLD_PART = 0.5; // of the multiple that the rule allows: jobs vary in size
     private static final double UNKNOWN_SLOTS = 2; // a worker of which nothing is known at all
     private static final double FIRST_MEAN = 500_000; // running time before any answer, or the aim
-    private static final double MEAN_RATE = 0.02; // weight of a new running time, once there are many
     private static final double LATE_ROOM = 0.3; // rounds of our slots of late jobs kept; more get refused
     private static final double REPORT_AGE = 500_000; // about how old a report may be
-    private static final double MOST_SLOTS = 4096; // no worker has more: a report that says so is none
-    private static final double SLOT_SAMPLES = 10; // reports that the learned slots rest on
     private static final long PROBE_AGAIN = 150_000; // a worker that had nothing to report yet
     private static final long SETTLE = 2_000_000; // a zone not heard from by then has no dispatcher
     private static final long LEFT_ALONE = 10_000_000; // nor has one that has been silent so long
@@ -62,12 +59,9 @@
     private final PriorityQueue<Job> leaving = new PriorityQueue<>(Job.BY_DEADLINE);
     private final Peer[] peers;
     private final long[] heardIn; // when a dispatcher of the zone was heard last; 0 = never
-    private final double[] kindSlots; // learned slots of a worker, by kind
-    private final double[] kindWeight; // and how many reports they rest on
+    private final Lessons known; // learned slots of workers and running times
+    private final Peer twin = new Peer(-1); // the process that we replace, or that replaces us
     private final long longest; // no job outlives it
-    private final double[] mean; // running time by class, lately
-    private final double[] base; // and at its best
-    private final int[] ended; // how many of the class we know from
     private final double[] bucket; // tokens by tenant
     private final boolean[] blocked; // classes for which a drain has found no slot
     private double p = 1, r = 1, zoneSlots, share = 1, trafficShare, rate, probeCredit;
@@ -90,15 +84,11 @@
         }
         peers = new Peer[settings.peers()];
         for (int i = 0; i < peers.length; i++) { peers[i] = new Peer(i); }
-        kindSlots = new double[settings.kinds() + 1];
-        kindWeight = new double[kindSlots.length];
-        mean = settings.classes().stream().mapToDouble(c -> Math.max(FIRST_MEAN, c.aim())).toArray();
-        base = mean.clone();
+        known = new Lessons(settings.kinds(), settings.classes(), FIRST_MEAN);
         longest = settings.classes().stream()
                 .mapToLong(c -> c.deadline() > 0 ? c.deadline() : NO_DEADLINE).max()
                 .getAsLong();
-        ended = new int[mean.length];
-        blocked = new boolean[mean.length];
+        blocked = new boolean[queues.length];
         bucket = new double[settings.tenants().size()];
         Arrays.fill(bucket, 1);
         trafficShare = 1.0 / settings.peers();
@@ -197,8 +187,8 @@
     /** Danger: held on, a job too large for any worker would drive P to 0 and end our offers. */
     private boolean fitsNowhere(Job j) {
         for (Worker w : fleet.ring[s.zone()]) {
-            boolean known = kindWeight[kindIndex(w.kind)] > 0;
-            boolean fits = !known || 2 * slotsOf(w) >= j.request.slots();
+            boolean learned = known.weight[kindIndex(w.kind)] > 0;
+            boolean fits = !learned || 2 * slotsOf(w) >= j.request.slots();
             if (fits && (j.spec.kind() < 0 || j.spec.kind() == w.kind)) { return false; }
         }
         return fleet.ring[s.zone()].length > 0;
@@ -250,7 +240,7 @@
                 if (rank != LATE) { retireLate(c, rank); }
                 Job j = queues[c][rank].head;
                 if (j == null || blocked[c] || !kindOpen(j.spec.kind())) { continue; }
-                double score = overload ? j.spec.worth() / mean[c] : -(j.arrived + (double) slack(c));
+                double score = overload ? j.spec.worth() / known.mean[c] : -(j.arrived + (double) slack(c));
                 if (best == null || score > bestScore) {
                     best = j;
                     bestScore = score;
@@ -275,7 +265,8 @@
     /** How long a job of the class may wait and probably still be in time. */
     private long slack(int c) {
         JobClass spec = s.classes().get(c);
-        return (long) Math.max(spec.aim() + (spec.stretch() * base[c] - mean[c]) / 2, spec.aim() * 0.3);
+        double spare = (spec.stretch() * known.base[c] - known.mean[c]) / 2;
+        return (long) Math.max(spec.aim() + spare, spec.aim() * 0.3);
     }
 
     /** Offers the job to a neighbour drawn with weight 1 - (1-R_y)/(1-P); false if it is turned back. */
@@ -330,11 +321,11 @@
 
     // ---- slot learning ----
     private double slotsOf(Worker w) {
-        double k = kindSlots[kindIndex(w.kind)];
+        double k = known.slots[kindIndex(w.kind)];
         return k > 0 ? k : UNKNOWN_SLOTS;
     }
 
-    private int kindIndex(int kind) { return kind < 0 ? kindSlots.length - 1 : kind; }
+    private int kindIndex(int kind) { return kind < 0 ? known.slots.length - 1 : kind; }
 
     private double free(Worker w) {
         double slots = w.failedTrials > 0 ? 1 : Math.floor(slotsOf(w) + 0.4); // on trial: one job at a time
@@ -357,23 +348,15 @@
         refresh(w);
         int k = kindIndex(w.kind);
         if (!Double.isNaN(report.held()) && !Double.isNaN(report.queued())) {
-            learnSlots(k, x0 + report.held() - report.queued());
+            known.learnSlots(k, x0 + report.held() - report.queued());
         } else if (w.ours) { // the one that fills a worker knows of all jobs there
             // the report is old: what it leaves out is what all of us had there lately, not what we have now
             double total = x0 - (report.queued() > 0 ? report.queued() : 0) + w.lately;
-            learnSlots(k, total);
+            known.learnSlots(k, total);
         }
         refresh(w);
     }
 
-    // Danger: slots learned too low stay idle on every worker of the kind. The first reports count fully.
-    private void learnSlots(int k, double total) {
-        // danger: one absurd figure would flood or idle all workers of the kind, an infinite one for good
-        if (!(Math.abs(total) <= MOST_SLOTS)) { return; }
-        kindWeight[k] = Math.min(kindWeight[k] + 1, SLOT_SAMPLES);
-        kindSlots[k] += (total - kindSlots[k]) / kindWeight[k];
-    }
-
     private void probeSome() {
         Worker[] zone = fleet.ours;
         for (int i = 0; i < 4 && probing && probeCredit >= 1 && zone.length > 0; i++) {
@@ -391,7 +374,7 @@
         Worker w = fleet.byAddress.get(address);
         if (w != null && outcome == Outcome.CONNECT_FAILED) { broken(w, false); }
         if (w != null && report != null) { learn(w, report); }
-        if (w != null && report == null && kindWeight[kindIndex(w.kind)] == 0) {
+        if (w != null && report == null && known.weight[kindIndex(w.kind)] == 0) {
             w.probedAt = now - MAX_PERIOD + PROBE_AGAIN;
         }
         drain();
@@ -565,7 +548,7 @@
         for (Attempt a : w.attempts) {
             if (a.cancelled) { continue; }
             long since = Math.max(a.sentAt, quietFrom);
-            double m = mean[a.job.request.jobClass()] * Math.max(1, w.speed);
+            double m = known.mean[a.job.request.jobClass()] * Math.max(1, w.speed);
             nats += s.tellsStart() && a.startedAt == 0 && now - since > START_NOTICE ? NOTICE_NATS : 0;
             boolean told = s.progressEvery() > 0 && a.lastNote > 0;
             nats += told && now - a.lastNote > 3 * s.progressEvery() ? SUSPECT_NATS : 0;
@@ -691,12 +674,8 @@
                 w.fulls = a.sentAt > w.fullAt ? 0 : w.fulls;
                 int c = a.job.request.jobClass();
                 long ran = a.startedAt > 0 ? Math.max(1, now - a.startedAt) : Math.max(1, took);
-                // danger: a first guess that lingers makes suspects of workers that run long jobs
-                ended[c] = next(ended[c]);
-                double rate = Math.max(MEAN_RATE, 1 / (ended[c] + 1.0));
-                mean[c] += (ran - mean[c]) * rate;
-                base[c] += (mean[c] - base[c]) * (rate > MEAN_RATE ? 1 : mean[c] < base[c] ? rate : 0.0005);
-                w.speed += (Math.min(4, ran / mean[c]) - w.speed) * 0.05;
+                known.ran(c, ran);
+                w.speed += (Math.min(4, ran / known.mean[c]) - w.speed) * 0.05;
                 sign(w);
             }
             case ERROR -> {
@@ -744,7 +723,7 @@
     /** When a refused client should return: once our part of the zone has run what we hold now. */
     private long comeBack(Job j) {
         double rounds = heldSlots / Math.max(zoneSlots * share, 1);
-        long least = Math.max(TICK, (long) (rounds * mean[j.request.jobClass()]));
+        long least = Math.max(TICK, (long) (rounds * known.mean[j.request.jobClass()]));
         return Math.min(s.maxRetryAfter(), spread(least));
     }
 
@@ -826,9 +805,9 @@
     }
 
     /** Slot time a job is expected to take. */
-    private double cost(Job j) { return mean[j.request.jobClass()] * j.request.slots(); }
+    private double cost(Job j) { return known.mean[j.request.jobClass()] * j.request.slots(); }
 
-    private double longestMean() { return Arrays.stream(mean).max().getAsDouble(); }
+    private double longestMean() { return Arrays.stream(known.mean).max().getAsDouble(); }
 
     /** Each dispatcher starts at a random fill: their first jobs must not arrive together. */
     private void chill(long start, Worker w) {
@@ -962,6 +941,19 @@
                 .filter(w -> w.suspect && w.state == WorkerState.IN_SERVICE).count();
     }
 
+    // ---- another process of this dispatcher, to replace or to be replaced by ----
+    @Override public Beside beside() { return new Beside(fleet.jobs(), known.told()); }
+
+    @Override public void beside(long clock, Beside other) {
+        now = clock;
+        known.take(other.learned());
+        for (Worker w : fleet.byAddress.values()) {
+            twin.hold(w, other.jobs().getOrDefault(w.address, 0), now);
+            refresh(w);
+        }
+        drain();
+    }
+
     // ---- time ----
     @Override public void timer(long clock, long token) {
         now = clock;
--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import saffronferry.Book.Worker;
 import saffronferry.Contract.WorkerState;
 
@@ -26,6 +27,17 @@
         count = new int[kinds + 1];
     }
 
+    /** The slots that our jobs take, by worker. */
+    Map<String, Integer> jobs() {
+        Map<String, Integer> jobs = new HashMap<>();
+        for (Worker w : byAddress.values()) {
+            if (w.mine > 0) {
+                jobs.put(w.address, w.mine);
+            }
+        }
+        return jobs;
+    }
+
     /** Groups of workers that may have a free slot: one for each kind, and one for unknown kinds. */
     int groups() {
         return count.length;
--- a/src/main/java/saffronferry/News.java
+++ b/src/main/java/saffronferry/News.java
@@ -30,6 +30,9 @@
     /** Whether there are descriptors for further call attempts; at the start there are. */
     record Room(boolean open) implements News { }
 
+    /** What another process of the same dispatcher tells; {@link Beside#NOBODY} once it is gone. */
+    record RunsBeside(Beside other) implements News { }
+
     /** The watch failed or ended. */
     record WatchLost() implements News { }
 }
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -6,11 +6,14 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.impl.VertxBuilder;
+import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
 import saffronferry.Balancer;
+import saffronferry.Beside;
+import saffronferry.News;
 import saffronferry.limit.AcceptGate;
 import saffronferry.limit.Descriptors;
 import saffronferry.log.BoundedLog;
@@ -33,6 +36,8 @@
     /** An answer counts when its last byte has left; the process must not end before that. */
     private static final long FLUSH_MS = 50;
 
+    /** How often two processes tell each other what they should know. */
+    private static final long COMPANY_MS = 100;
     /** What opens after the descriptors are counted: the selector's, our two sockets, a file and more. */
     private static final int STILL_TO_OPEN = 8;
     /** How long after its time a drain that does not end is waited for. */
@@ -53,6 +58,8 @@
     private BanFile banFile;
     /** Null where there is no console, and so nobody who would replace a process under load. */
     private Succession succession;
+    private Succession.Company company;
+    private boolean looking;
     private Bans bans = Bans.NONE;
     private boolean ready;
     private boolean lastIntake;
@@ -83,6 +90,8 @@
             banFile = new BanFile(config.folder, config.fileName());
             bans = Console.atStart(banFile, log);
             succession = new Succession(config.folder, config.fileName());
+            company = firstCompany();
+            descriptors.share(1 + company.others());
         }
         transport.onListenerLost(() -> unable("the listening socket is closed"));
     }
@@ -145,7 +154,7 @@
             wire.ledger().ban(bans); // before the first decision
             console = openConsole();
         }
-        return console.compose(v -> wire.begin(config.known))
+        return console.compose(v -> wire.begin(config.known)).onSuccess(v -> keepCompany())
                 .compose(v -> wire.server().listen(config.listen))
                 .compose(v -> wire.warmUp(config.listen))
                 .compose(v -> announce())
@@ -171,6 +180,50 @@
         });
     }
 
+    /** Before anything else: the others share what this process may hold from now on. */
+    private Succession.Company firstCompany() {
+        try {
+            succession.started();
+            return succession.exchange(Beside.NOBODY);
+        } catch (IOException e) {
+            log.line("not announced", String.valueOf(e));
+            return new Succession.Company(0, Beside.NOBODY);
+        }
+    }
+
+    /**
+     * Tells other processes of this dispatcher, ten times a second, what they should know, and hears them.
+     */
+    private void keepCompany() {
+        if (succession == null) {
+            return;
+        }
+        wire.ledger().report(new News.RunsBeside(company.told()));
+        vertx.setPeriodic(COMPANY_MS, t -> {
+            if (!looking) {
+                looking = true;
+                Beside own = wire.ledger().beside();
+                vertx.executeBlocking(() -> succession.exchange(own)).onComplete(heard -> {
+                    looking = false;
+                    if (heard.succeeded()) {
+                        meet(heard.result());
+                    }
+                });
+            }
+        });
+    }
+
+    private void meet(Succession.Company next) {
+        if (next.others() != company.others()) {
+            log.line("processes of this dispatcher", Integer.toString(1 + next.others()));
+            descriptors.share(1 + next.others());
+        }
+        if (!next.told().equals(company.told())) {
+            wire.ledger().report(new News.RunsBeside(next.told()));
+        }
+        company = next;
+    }
+
     private Future<Void> openConsole() {
         Console desk = new Console(vertx, wire.ledger(), figures, banFile, new Console.Floor() {
             @Override
--- a/src/main/java/saffronferry/lifecycle/Succession.java
+++ b/src/main/java/saffronferry/lifecycle/Succession.java
@@ -5,6 +5,14 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.json.JSONArray;
+import org.json.JSONException;
+import org.json.JSONObject;
+import saffronferry.Beside;
 
 /**
  * Which processes of this dispatcher there are, told by marks in the folder that they share: one for each
@@ -13,6 +21,7 @@
  */
 final class Succession {
     private static final String STARTED = ".process-";
+    private static final String TOLD = ".told-";
 
     private final Path folder;
     private final String name;
@@ -30,9 +39,7 @@
 
     /** This process serves: one that served before it is replaced. */
     void serving() throws IOException {
-        Path whole = Files.createTempFile(folder, name, ".new");
-        Files.writeString(whole, Long.toString(self));
-        Files.move(whole, folder.resolve(name + ".serving"), StandardCopyOption.ATOMIC_MOVE);
+        write(folder.resolve(name + ".serving"), Long.toString(self));
     }
 
     /** Whether another process, alive now, came to serve after this one. */
@@ -45,28 +52,81 @@
         }
     }
 
-    /** How many other processes of this dispatcher live. */
-    int others() {
-        int n = 0;
+    /** The other processes of this dispatcher that live. */
+    List<Long> others() {
+        List<Long> alive = new ArrayList<>();
         try (DirectoryStream<Path> marks = Files.newDirectoryStream(folder, name + STARTED + "*")) {
             for (Path mark : marks) {
                 long pid = pidOf(mark);
                 if (pid != self && alive(pid)) {
-                    n++;
+                    alive.add(pid);
                 } else if (pid != self) {
                     Files.deleteIfExists(mark);
+                    Files.deleteIfExists(told(pid));
                 }
             }
         } catch (IOException | java.nio.file.DirectoryIteratorException e) {
-            return n; // what cannot be read now is read at the next look
+            return alive; // what cannot be read now is read at the next look
+        }
+        return alive;
+    }
+
+    /** How many others live, and what they tell. */
+    record Company(int others, Beside told) { }
+
+    /** Tells the others, where there are any, what this process has to say, and hears them. */
+    Company exchange(Beside own) throws IOException {
+        List<Long> others = others();
+        if (others.isEmpty()) {
+            return new Company(0, Beside.NOBODY);
+        }
+        JSONObject json = new JSONObject().put("jobs", new JSONObject(own.jobs()))
+                .put("learned", new JSONArray(own.learned()));
+        write(told(self), json.toString());
+        Map<String, Integer> jobs = new HashMap<>();
+        double[] learned = {};
+        for (long other : others) {
+            Beside b = read(told(other));
+            b.jobs().forEach((worker, slots) -> jobs.merge(worker, slots, Integer::sum));
+            learned = b.learned().length > 0 ? b.learned() : learned;
+        }
+        return new Company(others.size(), new Beside(jobs, learned));
+    }
+
+    /** A process that has not spoken yet, or whose version speaks otherwise, says nothing. */
+    private static Beside read(Path file) {
+        try {
+            JSONObject json = new JSONObject(Files.readString(file));
+            Map<String, Integer> jobs = new HashMap<>();
+            JSONObject told = json.getJSONObject("jobs");
+            told.keySet().forEach(worker -> jobs.put(worker, Math.max(0, told.getInt(worker))));
+            JSONArray learned = json.getJSONArray("learned");
+            double[] figures = new double[learned.length()];
+            for (int i = 0; i < figures.length; i++) {
+                figures[i] = learned.getDouble(i);
+            }
+            return new Beside(jobs, figures);
+        } catch (IOException | JSONException e) {
+            return Beside.NOBODY;
         }
-        return n;
+    }
+
+    /** Whole, or not at all: a reader finds no half. */
+    private void write(Path file, String text) throws IOException {
+        Path whole = Files.createTempFile(folder, name, ".new");
+        Files.writeString(whole, text);
+        Files.move(whole, file, StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    private Path told(long pid) {
+        return folder.resolve(name + TOLD + pid);
     }
 
     /** This process is about to end. */
     void ended() {
         try {
             Files.deleteIfExists(mark(self));
+            Files.deleteIfExists(told(self));
         } catch (IOException e) {
             // whoever looks next sees that we are gone
         }
--- a/src/main/java/saffronferry/limit/Descriptors.java
+++ b/src/main/java/saffronferry/limit/Descriptors.java
@@ -25,9 +25,13 @@
     private static final int CONSOLE = 6;
     private static final int MOST_CONSOLE = 16;
 
-    private final int total;
+    private final int limit;
+    private final int own;
+    private int total;
     private final int[] sure = new int[Purpose.values().length];
     private final int[] most = new int[Purpose.values().length];
+    private final int[] plannedSure = new int[Purpose.values().length];
+    private final int[] plannedMost = new int[Purpose.values().length];
     private final int[] used = new int[Purpose.values().length];
     private int owed; // what purposes are sure of and have not taken
     private int usedInAll;
@@ -39,6 +43,8 @@
      * @throws IllegalArgumentException if the purposes' sure parts do not fit
      */
     public Descriptors(int limit, int own) {
+        this.limit = limit;
+        this.own = own;
         total = limit - SPARE - own;
         // by the platform's word usual clients hold a third at most
         plan(Purpose.CLIENTS, limit / 3, limit / 2);
@@ -54,9 +60,28 @@
         }
     }
 
+    /**
+     * Plans anew for this process's part of the limit, of which so many processes live. What is taken beyond
+     * the new plan stays, and nothing more is given out until it is back.
+     */
+    public void share(int processes) {
+        int whole = limit - SPARE - own;
+        total = Math.max(Purpose.values().length, (limit - SPARE) / processes - own);
+        owed = 0;
+        for (Purpose p : Purpose.values()) {
+            int i = p.ordinal();
+            sure[i] = Math.max(1, plannedSure[i] * total / whole);
+            most[i] = Math.max(sure[i], plannedMost[i] / processes);
+            owed += Math.max(0, sure[i] - used[i]);
+        }
+        onFree.forEach(Runnable::run);
+    }
+
     private void plan(Purpose p, int surely, int atMost) {
         sure[p.ordinal()] = surely;
         most[p.ordinal()] = atMost;
+        plannedSure[p.ordinal()] = surely;
+        plannedMost[p.ordinal()] = atMost;
         owed += surely;
     }
 
--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import saffronferry.Balancer;
+import saffronferry.Beside;
 import saffronferry.Contract.ListKind;
 import saffronferry.Contract.Outcome;
 import saffronferry.Contract.Report;
@@ -177,6 +178,11 @@
         }
     }
 
+    /** What another process of this dispatcher should know while it runs beside this one. */
+    public Beside beside() {
+        return balancer.beside();
+    }
+
     public Bans bans() {
         return resolved.bans();
     }
--- /dev/null
+++ b/src/test/java/saffronferry/BesideTest.java
@@ -0,0 +1,109 @@
+package saffronferry;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.json.JSONObject;
+import org.junit.jupiter.api.Test;
+import saffronferry.Contract.ListKind;
+import saffronferry.Contract.Outcome;
+import saffronferry.Contract.Report;
+import saffronferry.Contract.Request;
+import saffronferry.Contract.WorkerInfo;
+import saffronferry.Contract.WorkerState;
+import saffronferry.settings.SettingsReader;
+
+/** Two processes of one dispatcher, the one about to replace the other: what each makes of the other's word. */
+class BesideTest {
+    private static final long S = 1_000_000;
+
+    private static Balancer balancer() throws Exception {
+        JSONObject config = new JSONObject(Files.readString(Path.of("examples/config.json")));
+        Balancer b = new Balancer(new SettingsReader(7, config.getJSONObject("settings")).settings);
+        b.report(S, new News.Resolved(ListKind.WARM_COPY, List.of(
+                new WorkerInfo("w", WorkerState.IN_SERVICE, 0, 0, 0, 1))));
+        return b;
+    }
+
+    private static int sent(List<Step> steps) {
+        return (int) steps.stream().filter(Step.StartAttempt.class::isInstance).count();
+    }
+
+    /** Asks for so many jobs at once and says how many of them are sent. */
+    private static int fill(Balancer b, long now, int jobs) {
+        int n = 0;
+        for (int i = 0; i < jobs; i++) {
+            n += sent(b.pick(now, new Request(i + 1, 0, 0, now + 6 * S, 1, false)));
+        }
+        return n;
+    }
+
+    /** A balancer that has learned from reports that the worker has six slots. */
+    private static Balancer taught() throws Exception {
+        Balancer b = balancer();
+        for (int i = 1; i <= 10; i++) {
+            b.report(S + i, new News.Probed("w", Outcome.OK, new Report(Double.NaN, Double.NaN, 6)));
+        }
+        return b;
+    }
+
+    @Test
+    void whatOneHasLearnedTheOtherBeginsWith() throws Exception {
+        Balancer fresh = balancer();
+        assertEquals(2, fill(fresh, 2 * S, 9), "nothing is known: two slots a worker");
+        Balancer next = balancer();
+        next.report(2 * S, new News.RunsBeside(new Beside(Map.of(), taught().beside().learned())));
+        assertEquals(6, fill(next, 2 * S, 9));
+    }
+
+    @Test
+    void slotsThatTheOtherFillsAreTakenUntilItSaysOtherwise() throws Exception {
+        Balancer b = taught();
+        b.report(2 * S, new News.RunsBeside(new Beside(Map.of("w", 4, "unknown", 3), new double[0])));
+        assertEquals(2, fill(b, 2 * S, 6));
+        assertEquals(Map.of("w", 2), b.beside().jobs());
+        News three = new News.RunsBeside(new Beside(Map.of("w", 3), new double[0]));
+        assertEquals(1, sent(b.report(2 * S + 10_000, three)));
+        assertEquals(3, sent(b.report(2 * S + 20_000, new News.RunsBeside(Beside.NOBODY))));
+    }
+
+    /** The fault of the upgrade days: with its jobs uncounted, each report seemed to come from a smaller worker. */
+    @Test
+    void reportsAreNotFalsifiedByTheOthersJobs() throws Exception {
+        Balancer b = balancer();
+        long now = 2 * S;
+        b.report(now, new News.RunsBeside(new Beside(Map.of("w", 4), new double[0])));
+        for (int i = 0; i < 40; i++) {
+            now += S;
+            b.tick(now, 1);
+            b.report(now, new News.Probed("w", Outcome.OK, new Report(Double.NaN, Double.NaN, 2)));
+        }
+        b.report(now, new News.RunsBeside(Beside.NOBODY));
+        assertEquals(6, fill(b, now, 9));
+    }
+
+    @Test
+    void nonsenseTeachesNothing() throws Exception {
+        double[] before = balancer().beside().learned();
+        double[] infinite = before.clone();
+        infinite[0] = Double.POSITIVE_INFINITY;
+        double[] negative = before.clone();
+        negative[1] = -1;
+        for (double[] learned : new double[][] {{}, {1, 2, 3}, infinite, negative}) {
+            Balancer b = balancer();
+            b.report(2 * S, new News.RunsBeside(new Beside(new HashMap<>(), learned)));
+            assertArrayEquals(before, b.beside().learned());
+        }
+        Balancer knows = taught();
+        double[] own = knows.beside().learned();
+        knows.report(2 * S, new News.RunsBeside(new Beside(Map.of(), before)));
+        assertArrayEquals(own, knows.beside().learned(), "it has learned something itself");
+        assertTrue(own[0] > 5);
+    }
+}
--- a/src/test/java/saffronferry/EdgesTest.java
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -102,14 +102,15 @@
     @Test
     void runningTimesStayNumbersHoweverManyJobsEnded() throws Exception {
         Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
-        ((int[]) get(rig.module, "ended"))[0] = Integer.MAX_VALUE - 3;
+        Lessons known = (Lessons) get(rig.module, "known");
+        known.ended[0] = Integer.MAX_VALUE - 3;
         for (long id = 1; id <= 10; id++) {
             rig.ask(id);
             rig.run(200 * Rig.MS);
             rig.answer(id, 0, Outcome.OK);
         }
-        assertTrue(((int[]) get(rig.module, "ended"))[0] > 0, "it has wrapped, and will be a divisor of 0 one day");
-        double mean = ((double[]) get(rig.module, "mean"))[0];
+        assertTrue(known.ended[0] > 0, "it has wrapped, and will be a divisor of 0 one day");
+        double mean = known.mean[0];
         assertTrue(mean >= 200 * Rig.MS && mean <= 500 * Rig.MS, "mean " + mean);
     }
 
--- /dev/null
+++ b/src/test/java/saffronferry/lifecycle/SuccessionTest.java
@@ -0,0 +1,78 @@
+package saffronferry.lifecycle;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertFalse;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.json.JSONObject;
+import org.junit.After;
+import org.junit.Before;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+import saffronferry.Beside;
+
+/** The marks by which processes of one dispatcher know of each other; a sleeping process plays the other. */
+public class SuccessionTest {
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+    private Succession self;
+    private Process other;
+
+    @Before
+    public void begin() throws IOException {
+        self = new Succession(folder.getRoot().toPath(), "d");
+        self.started();
+        other = new ProcessBuilder("sleep", "60").start();
+    }
+
+    @After
+    public void end() {
+        other.destroyForcibly();
+    }
+
+    private Path file(String name) {
+        return folder.getRoot().toPath().resolve(name);
+    }
+
+    @Test
+    public void aProcessIsReplacedOnlyByOneThatServesAndLives() throws Exception {
+        assertFalse("no mark", self.replaced());
+        self.serving();
+        assertFalse("its own mark", self.replaced());
+        Files.writeString(file("d.serving"), "" + other.pid());
+        assertTrue(self.replaced());
+        other.destroyForcibly().waitFor();
+        assertFalse("it has died", self.replaced());
+        for (String damaged : List.of("", "x", "-1", "99999999999999999999")) {
+            Files.writeString(file("d.serving"), damaged);
+            assertFalse(damaged, self.replaced());
+        }
+    }
+
+    @Test
+    public void onlyProcessesThatLiveAreCompany() throws Exception {
+        assertEquals(0, self.exchange(Beside.NOBODY).others());
+        assertFalse("nobody is there to read", Files.exists(file("d.told-" + ProcessHandle.current().pid())));
+        Files.writeString(file("d.process-" + other.pid()), "");
+        Files.writeString(file("d.process-rubbish"), "");
+        assertEquals(new Succession.Company(1, Beside.NOBODY), self.exchange(Beside.NOBODY));
+        Files.writeString(file("d.told-" + other.pid()), "{\"jobs\":{\"w\":3,\"x\":-2},\"learned\":[1,2.5]}");
+        Beside heard = self.exchange(new Beside(Map.of("y", 1), new double[] {7})).told();
+        assertEquals(new Beside(Map.of("w", 3, "x", 0), new double[] {1, 2.5}), heard);
+        String told = Files.readString(file("d.told-" + ProcessHandle.current().pid()));
+        assertTrue(told, new JSONObject("{\"jobs\":{\"y\":1},\"learned\":[7]}").similar(new JSONObject(told)));
+        for (String damaged : List.of("", "{\"jobs\":{\"w\":3", "{\"jobs\":{\"w\":\"many\"},\"learned\":[]}")) {
+            Files.writeString(file("d.told-" + other.pid()), damaged);
+            assertEquals(damaged, Beside.NOBODY, self.exchange(Beside.NOBODY).told());
+        }
+        other.destroyForcibly().waitFor();
+        assertEquals(0, self.exchange(Beside.NOBODY).others());
+        assertFalse("its marks are cleared away", Files.exists(file("d.told-" + other.pid())));
+    }
+}
--- a/src/test/java/saffronferry/limit/LimitsTest.java
+++ b/src/test/java/saffronferry/limit/LimitsTest.java
@@ -172,4 +172,49 @@
             assertEquals(i == 8, told[i], "look " + i);
         }
     }
+
+    /** Two processes of one dispatcher never hold more than the limit together, however they come by it. */
+    @Test
+    void processesThatShareALimitKeepItTogether() {
+        for (int seed = 0; seed < 50; seed++) {
+            Random random = new Random(seed);
+            Descriptors[] both = {new Descriptors(384, 30), new Descriptors(384, 30)};
+            both[0].share(2);
+            both[1].share(2);
+            int[] held = new int[2];
+            for (int i = 0; i < 2_000; i++) {
+                int who = random.nextInt(2);
+                Purpose p = Purpose.values()[random.nextInt(Purpose.values().length)];
+                if (random.nextInt(3) > 0) {
+                    held[who] += both[who].take(p) ? 1 : 0;
+                } else if (both[who].used(p) > 0) {
+                    both[who].release(p);
+                    held[who]--;
+                }
+                assertTrue(held[0] + 30 + held[1] + 30 <= 384 - Descriptors.SPARE);
+            }
+            both[0].share(1);
+            int more = 0;
+            while (both[0].take(Purpose.CLIENTS)) {
+                more++;
+            }
+            assertTrue(more > 60, "alone again it may hold as many as ever");
+        }
+    }
+
+    /** What one held before it had to share stays, and it takes nothing more until that is back. */
+    @Test
+    void whoSharesGivesBackAsItsConnectionsEnd() {
+        Descriptors d = new Descriptors(384, 30);
+        while (d.take(Purpose.CLIENTS)) {
+            continue;
+        }
+        int held = d.used(Purpose.CLIENTS);
+        d.share(2);
+        assertFalse(d.take(Purpose.CLIENTS));
+        while (d.used(Purpose.CLIENTS) > held / 2) {
+            d.release(Purpose.CLIENTS);
+        }
+        assertTrue(d.take(Purpose.WORKERS));
+    }
 }
