--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -66,6 +66,7 @@
     private final boolean[] blocked; // classes for which a drain has found no slot
     private double p = 1, r = 1, zoneSlots, share = 1, trafficShare, rate, probeCredit;
     private double repeats = MOST_REPEATS;
+    private int processes = 1; // of this dispatcher: budgets are for both together
     private int heldSlots, arrivals, homesMark, turn, probeTurn, checkTurn, subscribeFailures, goneByNow;
     private long now, lastTick, bornAt, nextExchange, spent, offersUntil, ticks, period = MIN_PERIOD;
     private final boolean probing;
@@ -100,7 +101,7 @@
         now = clock;
         JobClass spec = s.classes().get(q.jobClass());
         arrivals++;
-        repeats = Math.min(repeats + REPEAT_PART, MOST_REPEATS);
+        repeats = Math.min(repeats + REPEAT_PART, MOST_REPEATS / processes);
         probeCredit = Math.min(probeCredit + PROBE_SPEND / Math.max(s.probePrice(), 1e-3), 20);
         Job j = new Job(q, spec, now, beyondShare(q));
         jobs.put(j);
@@ -797,7 +798,7 @@
             return true;
         }
         double capacity = s.coldShare() + (1 - s.coldShare()) * Math.max(0, age);
-        int sharing = settled ? 1 : peers.length; // at first all may think that it is theirs
+        int sharing = processes * (settled ? 1 : peers.length); // at first all may think that it is theirs
         double rate = COLD_PART * s.fallMultiple() * capacity * slotsOf(w) / sharing;
         w.coldTokens = Math.min(longestMean(), w.coldTokens + rate * (now - w.coldAt));
         w.coldAt = now;
@@ -947,6 +948,8 @@
     @Override public void beside(long clock, Beside other) {
         now = clock;
         known.take(other.learned());
+        processes = other.equals(Beside.NOBODY) ? 1 : 2;
+        repeats = Math.min(repeats, MOST_REPEATS / processes);
         for (Worker w : fleet.byAddress.values()) {
             twin.hold(w, other.jobs().getOrDefault(w.address, 0), now);
             refresh(w);
@@ -966,7 +969,7 @@
         arrivals = 0;
         lastTick = now;
         fillBuckets(seconds);
-        repeats = Math.min(repeats + REPEATS_PER_S * seconds, MOST_REPEATS);
+        repeats = Math.min(repeats + REPEATS_PER_S / processes * seconds, MOST_REPEATS / processes);
         if (ticks++ % 8 == 0 || now - bornAt < SETTLE / 2) {
             forgetSilentPeers();
             learnHomes();
--- a/src/main/java/saffronferry/lab/check/RuleChecker.java
+++ b/src/main/java/saffronferry/lab/check/RuleChecker.java
@@ -77,6 +77,7 @@
     private final Map<Id, Open> open = new HashMap<>();
     private final Map<Integer, Map<String, Told>> told = new HashMap<>();
     private final Map<String, Deque<Arrival>> arrivals = new HashMap<>();
+    private final Map<Integer, Map<String, Long>> bans = new HashMap<>();
     private final List<Broken> broken = new ArrayList<>();
     private int count;
     private int judged;
@@ -164,6 +165,12 @@
                     + String.format(Locale.ROOT,
                     " %.3f s after the word that it is %s", (now - t.at) / 1e6, t.state), o);
         }
+        Long since = bans.getOrDefault(id.dispatcher(), Map.of()).get(worker);
+        if (since != null && now > since) {
+            breaks("ban", now, id.dispatcher(), worker + " is sent RPC " + id.rpc()
+                    + String.format(Locale.ROOT,
+                    " %.3f s after an operator took it out", (now - since) / 1e6), o);
+        }
         o.attempts.add(new Attempt(worker, zone, cell, now));
     }
 
@@ -210,6 +217,16 @@
         }
     }
 
+    /** A dispatcher has said yes to taking a worker out: nothing more goes there, whatever a list says. */
+    public void banned(long now, int dispatcher, String worker) {
+        bans.computeIfAbsent(dispatcher, d -> new HashMap<>()).putIfAbsent(worker, now);
+    }
+
+    /** The worker is put back; one call is enough, and the end of a process does not count as one. */
+    public void putBack(int dispatcher, String worker) {
+        bans.getOrDefault(dispatcher, new HashMap<>()).remove(worker);
+    }
+
     /** A dispatcher is told a worker's state. */
     public void told(long now, int dispatcher, String worker, WorkerState state) {
         told.computeIfAbsent(dispatcher, d -> new HashMap<>()).compute(worker, (w, old) ->
--- a/src/main/java/saffronferry/lifecycle/Config.java
+++ b/src/main/java/saffronferry/lifecycle/Config.java
@@ -32,6 +32,8 @@
     final SettingsReader settings;
     final ListParser lists;
     final ListUpdate known;
+    /** What of the known list could not be read, and is left out. */
+    final List<String> unreadable = new ArrayList<>();
 
     /** Reads the file that {@code BALANCER_CONFIG} names; other variables stand in for missing keys. */
     static Config read(Map<String, String> environment) {
@@ -73,7 +75,7 @@
         settings = key("settings", () -> new SettingsReader(seed, json.getJSONObject("settings")));
         lists = new ListParser(settings.kinds, settings.zones);
         known = key("known", () -> json.isNull("known") ? new ListUpdate(0, true, List.of())
-                : lists.parse(json.getJSONObject("known")));
+                : lists.parse(json.getJSONObject("known"), unreadable::add));
     }
 
     /**
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -145,6 +145,7 @@
         vertx.exceptionHandler(e -> log.line("internal error", String.valueOf(e)));
         watchdog.start(vertx);
         SettingsReader s = config.settings;
+        config.unreadable.forEach(bad -> log.line("list entry left out", bad));
         wire = new Wire(vertx, new Wire.Options(config.discovery, config.peerListen, config.peers,
                 s.settings.classes(), s.tenants, config.lists, s.fieldOf("free slots"),
                 s.connectTimeout),
--- a/src/main/java/saffronferry/wire/DiscoveryWatch.java
+++ b/src/main/java/saffronferry/wire/DiscoveryWatch.java
@@ -124,7 +124,7 @@
 
         private void line(String line) {
             if (!line.isEmpty() && !over) {
-                ListUpdate update = parser.parse(line);
+                ListUpdate update = parser.parse(line, bad -> log.line("list entry left out", bad));
                 strange = false;
                 told.accept(update);
             }
--- a/src/main/java/saffronferry/wire/ListParser.java
+++ b/src/main/java/saffronferry/wire/ListParser.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import saffronferry.Contract.WorkerInfo;
 import saffronferry.Contract.WorkerState;
 import org.json.JSONArray;
@@ -19,21 +20,30 @@
         this.zones = zones;
     }
 
-    /** Throws an {@link IllegalArgumentException} that says what is malformed. */
-    public ListUpdate parse(String json) {
+    /**
+     * Reads a list. An entry that cannot be read costs that entry only, and is told of; a list that cannot is
+     * an {@link IllegalArgumentException} that says what is malformed.
+     */
+    public ListUpdate parse(String json, Consumer<String> unreadable) {
         try {
-            return parse(new JSONObject(json));
+            return parse(new JSONObject(json), unreadable);
         } catch (JSONException e) {
             throw new IllegalArgumentException(e.getMessage());
         }
     }
 
-    public ListUpdate parse(JSONObject list) {
+    /** The same, of what is JSON already. */
+    public ListUpdate parse(JSONObject list, Consumer<String> unreadable) {
         try {
             List<ListUpdate.Entry> entries = new ArrayList<>();
             JSONArray members = list.getJSONArray("members");
             for (int i = 0; i < members.length(); i++) {
-                entries.add(entry(members.getJSONObject(i)));
+                try {
+                    entries.add(entry(members.getJSONObject(i)));
+                } catch (JSONException | IllegalArgumentException e) {
+                    // guards the rest of the list: asked again, discovery would only say the same again
+                    unreadable.accept("entry " + i + ": " + e.getMessage());
+                }
             }
             return new ListUpdate(list.getLong("revision"), list.getBoolean("complete"), entries);
         } catch (JSONException e) {
--- a/src/test/java/saffronferry/BesideTest.java
+++ b/src/test/java/saffronferry/BesideTest.java
@@ -106,4 +106,33 @@
         assertArrayEquals(own, knows.beside().learned(), "it has learned something itself");
         assertTrue(own[0] > 5);
     }
+
+    /** Jobs that a cold worker is sent in its first seconds, each done as soon as it is sent. */
+    private static int sentCold(Balancer b) {
+        b.report(2 * S, new News.Resolved(ListKind.WHOLE, List.of(
+                new WorkerInfo("cold", WorkerState.IN_SERVICE, 0, 0, 2 * S, 1))));
+        int n = 0;
+        for (int i = 1; i <= 100; i++) {
+            long now = 2 * S + i * 50_000L;
+            for (Step step : b.pick(now, new Request(i, 0, 0, now + 6 * S, 1, false))) {
+                if (step instanceof Step.StartAttempt a) {
+                    n++;
+                    b.report(now, new News.AttemptEnded(a.rpc(), 0, Outcome.OK, 500_000, true, null));
+                }
+            }
+            b.tick(now, 1);
+        }
+        return n;
+    }
+
+    /** For the rule on cold workers the two are one dispatcher: together they send what one may send alone. */
+    @Test
+    void theBudgetOfColdWorkersIsForBothTogether() throws Exception {
+        int alone = sentCold(taught());
+        Balancer one = taught();
+        one.report(2 * S, new News.RunsBeside(new Beside(Map.of(), new double[] {1})));
+        int ofTwo = sentCold(one);
+        assertTrue(ofTwo > 0 && ofTwo <= alone / 2 + 1,
+                ofTwo + " beside another, " + alone + " alone");
+    }
 }
--- a/src/test/java/saffronferry/lab/check/History.java
+++ b/src/test/java/saffronferry/lab/check/History.java
@@ -25,6 +25,7 @@
  *   T reaches D R WORKER            T worker D R A OUTCOME
  *   T answer D R served|refused|failed
  *   T gone D R                      T dies D
+ *   T ban D WORKER                  T back D WORKER
  *   T capacity WORKER PER_S         T end
  * </pre>
  */
@@ -167,6 +168,8 @@
                 checker.answered(l.at, id(l), l.text(2), "refused".equals(l.text(2)));
             }
             case "gone" -> checker.left(id(l));
+            case "ban" -> checker.banned(l.at, l.whole(0), l.text(1));
+            case "back" -> checker.putBack(l.whole(0), l.text(1));
             case "dies" -> {
                 checker.died(l.whole(0));
                 lives.merge(l.whole(0), 1, Integer::sum);
--- a/src/test/java/saffronferry/lab/check/Stage.java
+++ b/src/test/java/saffronferry/lab/check/Stage.java
@@ -83,6 +83,8 @@
                         l.micros(4) / 1e6));
                 case "worker" -> at(l.at(), () -> front(l.whole(0)).answered(l.text(1), l.whole(2),
                         l.oneOf(Outcome.class, l.text(3))));
+                case "ban" -> at(l.at(), () -> front(l.whole(0)).ban(l.text(1), true));
+                case "back" -> at(l.at(), () -> front(l.whole(0)).ban(l.text(1), false));
                 case "gone" -> at(l.at(), () -> front(l.whole(0)).left(l.text(1)));
                 case "capacity" -> at(l.at(), () -> write("capacity %s %s", l.text(0), l.text(1)));
                 default -> { }
@@ -110,11 +112,25 @@
         for (int s = 1; s < seconds; s++) {
             at(s * 1_000_000L, () -> discovery(workers));
             at(s * 1_000_000L + 1, this::capacities);
+            if (s % 3 == 0) {
+                at(s * 1_000_000L + 2, () -> operators(dispatchers, workers));
+            }
         }
         run(seconds * 1_000_000L + 40_000_000L);
         write("end");
     }
 
+    /** They take a worker out at each dispatcher, by hand and so not at once, and put it back later. */
+    private void operators(int dispatchers, int workers) {
+        String worker = "w" + dice.nextInt(workers);
+        for (int d = 0; d < dispatchers; d++) {
+            Front front = front(d);
+            long out = now + dice.nextLong(300_000);
+            at(out, () -> front.ban(worker, true));
+            at(out + 500_000 + dice.nextLong(3_000_000), () -> front.ban(worker, false));
+        }
+    }
+
     private WorkerInfo put(String name, WorkerState state, long startedAt) {
         int n = Integer.parseInt(name.substring(1));
         int zone = n % scenario.zones().size();
@@ -211,6 +227,11 @@
                     }, this, new Figures(classes.stream().map(JobClass::name).toList()));
         }
 
+        void ban(String worker, boolean out) {
+            write((out ? "ban" : "back") + " %d %s", number, worker);
+            ledger.ban(out ? ledger.bans().with(worker) : ledger.bans().without(worker));
+        }
+
         void told(List<WorkerInfo> entries, boolean whole) {
             StringBuilder text = new StringBuilder();
             entries.stream().sorted((a, b) -> a.address().compareTo(b.address())).forEach(w -> text.append(' ')
@@ -272,6 +293,7 @@
         @Override
         public Runnable start(String rpc, String address, long remaining, CallAttempt attempt) {
             write("reaches %d %s %s", number, rpc, address);
+            attempt.begun();
             List<CallAttempt> all = attempts.computeIfAbsent(rpc, x -> new ArrayList<>());
             all.add(attempt);
             places.put(attempt, address);
