--- /dev/null
+++ b/src/main/java/saffronferry/lifecycle/Company.java
@@ -0,0 +1,125 @@
+package saffronferry.lifecycle;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import saffronferry.Beside;
+import saffronferry.limit.Descriptors;
+import saffronferry.log.BoundedLog;
+import saffronferry.ops.Bans;
+
+/**
+ * Keeps this process in step with others of its dispatcher: one look for all that lies in the folder they
+ * share, the marks and the bans. While nobody else lives a look finds nothing but somebody who starts, so
+ * there are fewer: a hundred dispatchers that look ten times a second each are a thousand looks. For the
+ * event loop, the constructor apart.
+ */
+final class Company {
+    /** How often two processes tell each other what they should know: slots are taken and freed meanwhile. */
+    private static final long TOGETHER_MS = 100;
+    /** Well under the time that a process takes to start: by its first decision it is known, and told. */
+    private static final long ALONE_MS = 250;
+
+    /** What one look has found; the bans are null where nobody else has changed them. */
+    private record Found(Succession.Company others, Bans bans) { }
+
+    private final Vertx vertx;
+    private final Succession succession;
+    private final BanFile file;
+    private final Descriptors descriptors;
+    private final BoundedLog log;
+    private Succession.Company last;
+    private Supplier<Beside> own;
+    private Consumer<Beside> onTold;
+    private Consumer<Bans> onBans;
+
+    /** Announces this process, so that others share with it what a dispatcher may hold. Reads files. */
+    Company(Vertx vertx, Succession succession, BanFile file, Descriptors descriptors, BoundedLog log) {
+        this.vertx = vertx;
+        this.succession = succession;
+        this.file = file;
+        this.descriptors = descriptors;
+        this.log = log;
+        try {
+            succession.started();
+            last = succession.exchange(Beside.NOBODY);
+        } catch (IOException e) {
+            log.line("not announced", String.valueOf(e));
+            last = new Succession.Company(0, Beside.NOBODY);
+        }
+        descriptors.share(1 + last.others());
+    }
+
+    /** From now on others are told what {@code own} says; their word, and changed bans, are handed on. */
+    void keep(Supplier<Beside> own, Consumer<Beside> told, Consumer<Bans> changed) {
+        this.own = own;
+        onTold = told;
+        onBans = changed;
+        onTold.accept(last.told());
+        lookLater();
+    }
+
+    private void lookLater() {
+        vertx.setTimer(last.others() > 0 ? TOGETHER_MS : ALONE_MS, t -> look());
+    }
+
+    /** The next look is set when this one has ended: looks must not pile up behind a slow folder. */
+    private void look() {
+        Beside said = last.others() > 0 ? own.get() : Beside.NOBODY;
+        vertx.executeBlocking(() -> new Found(succession.exchange(said), changedBans())).onComplete(found -> {
+            lookLater();
+            if (found.failed()) {
+                log.line("no look at the others", String.valueOf(found.cause()));
+                return;
+            }
+            meet(found.result().others());
+            if (found.result().bans() != null) {
+                onBans.accept(found.result().bans());
+            }
+        });
+    }
+
+    private Bans changedBans() {
+        try {
+            return file.readIfChanged();
+        } catch (IOException e) {
+            log.line("bans not read", String.valueOf(e.getMessage()));
+            return null;
+        }
+    }
+
+    private void meet(Succession.Company next) {
+        if (next.others() != last.others()) {
+            log.line("processes of this dispatcher", Integer.toString(1 + next.others()));
+            descriptors.share(1 + next.others());
+        }
+        if (!next.told().equals(last.told())) {
+            onTold.accept(next.told());
+        }
+        last = next;
+    }
+
+    /** Tells a process that serves already that it is replaced: once we say yes, its end may come. */
+    Future<Void> announce() {
+        return vertx.<Void>executeBlocking(() -> {
+            succession.serving();
+            return null;
+        }).recover(e -> {
+            // guards a start against a folder that cannot be written: only an upgrade would lose by it
+            log.line("not announced", String.valueOf(e));
+            return Future.succeededFuture();
+        });
+    }
+
+    /** Whether another process, alive now, came to serve after this one. Reads files. */
+    boolean replaced() {
+        return succession.replaced();
+    }
+
+    /** This process is about to end. Writes files. */
+    void ended() {
+        succession.ended();
+    }
+}
--- a/src/main/java/saffronferry/lifecycle/Console.java
+++ b/src/main/java/saffronferry/lifecycle/Console.java
@@ -10,10 +10,8 @@
 import saffronferry.state.Ledger;
 import saffronferry.wire.ConsoleServer;
 
-/** Does what operators call for, and keeps the bans in step with their file. For the event loop. */
+/** Does what operators call for, and takes over what the bans' file says. For the event loop. */
 final class Console implements ConsoleServer.Desk {
-    private static final long LOOK_MS = 100;
-
     /** What the node itself does for a call. */
     interface Floor {
         boolean ready();
@@ -31,7 +29,6 @@
     private final Floor floor;
     private final BoundedLog log;
     private int changing;
-    private boolean looking;
 
     Console(Vertx vertx, Ledger<?> ledger, Figures figures, BanFile file, Floor floor, BoundedLog log) {
         this.vertx = vertx;
@@ -42,11 +39,6 @@
         this.log = log;
     }
 
-    /** Looks from now on whether another process has changed the bans. */
-    void watch() {
-        vertx.setPeriodic(LOOK_MS, t -> look());
-    }
-
     @Override
     public void called(String method, String path, ConsoleServer.Reply reply) {
         Call call = Call.read(method, path);
@@ -92,27 +84,12 @@
     }
 
     /** What the file says holds, unless a change of ours is yet to reach it. */
-    private void follow(Bans bans) {
+    void follow(Bans bans) {
         if (changing == 0 && !bans.equals(ledger.bans())) {
             ledger.ban(bans);
         }
     }
 
-    private void look() {
-        if (looking || changing > 0) {
-            return;
-        }
-        looking = true;
-        vertx.<Bans>executeBlocking(file::readIfChanged).onComplete(r -> {
-            looking = false;
-            if (r.failed()) {
-                log.line("bans not read", String.valueOf(r.cause().getMessage()));
-            } else if (r.result() != null) {
-                follow(r.result());
-            }
-        });
-    }
-
     /** Reads the bans that a start is to begin with; what is damaged is logged and ends nothing. */
     static Bans atStart(BanFile file, BoundedLog log) {
         try {
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -6,13 +6,11 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.impl.VertxBuilder;
-import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
 import saffronferry.Balancer;
-import saffronferry.Beside;
 import saffronferry.News;
 import saffronferry.limit.AcceptGate;
 import saffronferry.limit.Descriptors;
@@ -36,8 +34,8 @@
     /** An answer counts when its last byte has left; the process must not end before that. */
     private static final long FLUSH_MS = 50;
 
-    /** How often two processes tell each other what they should know. */
-    private static final long COMPANY_MS = 100;
+    /** How often the library looks for a loop that stands still, to log it; our watchdog acts on it. */
+    private static final long BLOCKED_LOOK_MS = 5_000;
     /** What opens after the descriptors are counted: the selector's, our two sockets, a file and more. */
     private static final int STILL_TO_OPEN = 8;
     /** How long after its time a drain that does not end is waited for. */
@@ -56,10 +54,9 @@
     private Watchdog watchdog;
     private volatile boolean closing;
     private BanFile banFile;
+    private Console desk;
     /** Null where there is no console, and so nobody who would replace a process under load. */
-    private Succession succession;
-    private Succession.Company company;
-    private boolean looking;
+    private Company company;
     private Bans bans = Bans.NONE;
     private boolean ready;
     private boolean lastIntake;
@@ -83,15 +80,15 @@
         descriptors.onFree(transport::freed);
         figures = new Figures(config.settings.settings.classes().stream().map(c -> c.name()).toList());
         vertx = new VertxBuilder(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1)).findTransport(transport).init().vertx();
+                .setInternalBlockingPoolSize(1).setBlockedThreadCheckInterval(BLOCKED_LOOK_MS))
+                .findTransport(transport).init().vertx();
         context = vertx.getOrCreateContext();
         patience(Watchdog.GIVE_UP_MS);
         if (config.console != null) {
             banFile = new BanFile(config.folder, config.fileName());
             bans = Console.atStart(banFile, log);
-            succession = new Succession(config.folder, config.fileName());
-            company = firstCompany();
-            descriptors.share(1 + company.others());
+            Succession succession = new Succession(config.folder, config.fileName());
+            company = new Company(vertx, succession, banFile, descriptors, log);
         }
         transport.onListenerLost(() -> unable("the listening socket is closed"));
     }
@@ -158,7 +155,7 @@
         return console.compose(v -> wire.begin(config.known)).onSuccess(v -> keepCompany())
                 .compose(v -> wire.server().listen(config.listen))
                 .compose(v -> wire.warmUp(config.listen))
-                .compose(v -> announce())
+                .compose(v -> company == null ? Future.succeededFuture() : company.announce())
                 .onSuccess(v -> {
                     ready = true;
                     wire.server().ready();
@@ -166,67 +163,15 @@
                 }).mapEmpty();
     }
 
-    /** Tells a process that serves already that it is replaced: once we say yes, its end may come. */
-    private Future<Void> announce() {
-        if (succession == null) {
-            return Future.succeededFuture();
-        }
-        return vertx.<Void>executeBlocking(() -> {
-            succession.serving();
-            return null;
-        }).recover(e -> {
-            // guards a start against a folder that cannot be written: only an upgrade would lose by it
-            log.line("not announced", String.valueOf(e));
-            return Future.succeededFuture();
-        });
-    }
-
-    /** Before anything else: the others share what this process may hold from now on. */
-    private Succession.Company firstCompany() {
-        try {
-            succession.started();
-            return succession.exchange(Beside.NOBODY);
-        } catch (IOException e) {
-            log.line("not announced", String.valueOf(e));
-            return new Succession.Company(0, Beside.NOBODY);
-        }
-    }
-
-    /**
-     * Tells other processes of this dispatcher, ten times a second, what they should know, and hears them.
-     */
     private void keepCompany() {
-        if (succession == null) {
-            return;
-        }
-        wire.ledger().report(new News.RunsBeside(company.told()));
-        vertx.setPeriodic(COMPANY_MS, t -> {
-            if (!looking) {
-                looking = true;
-                Beside own = wire.ledger().beside();
-                vertx.executeBlocking(() -> succession.exchange(own)).onComplete(heard -> {
-                    looking = false;
-                    if (heard.succeeded()) {
-                        meet(heard.result());
-                    }
-                });
-            }
-        });
-    }
-
-    private void meet(Succession.Company next) {
-        if (next.others() != company.others()) {
-            log.line("processes of this dispatcher", Integer.toString(1 + next.others()));
-            descriptors.share(1 + next.others());
-        }
-        if (!next.told().equals(company.told())) {
-            wire.ledger().report(new News.RunsBeside(next.told()));
+        if (company != null) {
+            company.keep(wire.ledger()::beside, told -> wire.ledger().report(new News.RunsBeside(told)),
+                    desk::follow);
         }
-        company = next;
     }
 
     private Future<Void> openConsole() {
-        Console desk = new Console(vertx, wire.ledger(), figures, banFile, new Console.Floor() {
+        desk = new Console(vertx, wire.ledger(), figures, banFile, new Console.Floor() {
             @Override
             public boolean ready() {
                 return ready && !drain.ending();
@@ -245,7 +190,6 @@
                 return open;
             }
         }, log);
-        desk.watch();
         return new ConsoleServer(vertx, descriptors, transport, desk).listen(config.console);
     }
 
@@ -266,13 +210,13 @@
 
     /** SIGTERM runs this: the process ends when it returns. */
     void awaitDrain() {
-        boolean elsewhere = succession != null && succession.replaced();
+        boolean elsewhere = company != null && company.replaced();
         context.runOnContext(v -> drain(elsewhere));
         try {
             // guards against a loop that hangs: what it holds cannot be answered, and SIGKILL would come
             drained.await(LONGEST_MS + DRAIN_SLACK_MS, TimeUnit.MILLISECONDS);
-            if (succession != null) {
-                succession.ended();
+            if (company != null) {
+                company.ended();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/saffronferry/lifecycle/Succession.java
+++ b/src/main/java/saffronferry/lifecycle/Succession.java
@@ -19,7 +19,7 @@
  * process that has started, and one that names who came to serve last. Marks of processes that are gone count
  * for nothing. All of it blocks: nothing here is for the event loop.
  */
-final class Succession {
+class Succession {
     private static final String STARTED = ".process-";
     private static final String TOLD = ".told-";
 
