Deal a zone's workers evenly among its dispatchers, and hand over their jobs with them

Dealing evenly alone failed ColdBudgetTest: a dispatcher had learned 13 slots for a worker of 5, since 8 jobs of peers counted there had ended while the worker was another's (tellLender says nothing for workers that are ours by now) - a latent fault that each change of owners had already.

Ruled out: reports (right in the trace), the cold budget itself (one owner).

Change: fleet.Owners (rendezvous hashing with an even load, pure); who sees a worker change hands tells its new owner of its own jobs there, and forgets what peers of its zone had told it of workers that are no longer its own. The budget of repeats moved out of the module.

Whole suite green.

--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -53,7 +53,6 @@
         int errors;              // in a row
         int resets;              // since the last sign of life
         int home = -1;           // zone whose dispatchers fill it
-        int owner = -1;          // dispatcher that fills it first
         int lender = -1;         // dispatcher that offered a slot there last
         boolean ours;            // this dispatcher fills it first
         double lately;           // slots taken, averaged over about the age of a report
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.*;
 import saffronferry.Book.*;
 import saffronferry.Contract.*;
+import saffronferry.fleet.Owners;
 
 /** Networked queues: push to a free slot of the own zone, else hold with P, else spill to a neighbour. */
 public final class Dispatcher implements Contract.Events {
@@ -36,11 +37,6 @@
     private static final long SETTLE = 2_000_000; // a zone not heard from by then has no dispatcher
     private static final long LEFT_ALONE = 10_000_000; // nor has one that has been silent so long
     private static final long SUBSCRIBE_WAIT = 300_000; // before asking for the list again; doubles once
-    // danger: where all fails, each of a client's tries would become as many attempts as are allowed.
-    // What may have run is repeated for a fifth of the requests and so many times a second, no more
-    private static final double REPEAT_PART = 0.2;
-    private static final double REPEATS_PER_S = 5;
-    private static final double MOST_REPEATS = 25; // at once
     private static final double RATE_SPAN = 2; // seconds over which our rate is averaged
     private static final long NO_DEADLINE = 3_600_000_000L; // what stands for it where a class states none
     private static final long TICK_TOKEN = 1;
@@ -65,7 +61,7 @@
     private final Allowances allowances;
     private final boolean[] blocked; // classes for which a drain has found no slot
     private double p = 1, r = 1, zoneSlots, share = 1, trafficShare, rate, probeCredit;
-    private double repeats = MOST_REPEATS;
+    private final RepeatBudget repeats = new RepeatBudget();
     private int processes = 1; // of this dispatcher: budgets are for both together
     private int heldSlots, arrivals, homesMark, turn, probeTurn, checkTurn, subscribeFailures, goneByNow;
     private long now, lastTick, bornAt, nextExchange, spent, offersUntil, ticks, period = MIN_PERIOD;
@@ -100,7 +96,7 @@
         now = clock;
         JobClass spec = s.classes().get(q.jobClass());
         arrivals++;
-        repeats = Math.min(repeats + REPEAT_PART, MOST_REPEATS / processes);
+        repeats.asked();
         probeCredit = Math.min(probeCredit + PROBE_SPEND / Math.max(s.probePrice(), 1e-3), 20);
         Job j = new Job(q, spec, now, allowances.beyond(q.tenant()));
         jobs.put(j);
@@ -704,12 +700,7 @@
     }
 
     /** Takes a repeat out of the budget, at once: many jobs may be held for it before any is sent. */
-    private boolean mayRepeat(Job j) {
-        if (j.nothingMayHaveRun()) { return true; }
-        boolean may = repeats >= 1;
-        repeats -= may ? 1 : 0;
-        return may;
-    }
+    private boolean mayRepeat(Job j) { return j.nothingMayHaveRun() || repeats.take(); }
 
     private void end(Job j) {
         if (mayRefuse(j)) { out.refuse(j.request.id(), comeBack(j)); } else { out.fail(j.request.id()); }
@@ -860,14 +851,21 @@
         return best;
     }
 
-    private int homePeer(Worker w) {
-        int best = s.self();
-        for (Peer y : peers) {
-            if (y.heard > 0 && y.zone == s.zone() && Book.mix(w.hash, ~y.number) > Book.mix(w.hash, ~best)) {
-                best = y.number;
-            }
+    /** Who of our zone's dispatchers, as far as heard, fills which of its workers. */
+    private void own() {
+        Worker[] zone = fleet.ring[s.zone()];
+        int[] near = Arrays.stream(peers)
+                .filter(y -> y.number == s.self() || y.heard > 0 && y.zone == s.zone())
+                .mapToInt(y -> y.number).toArray();
+        int[] owners = Owners.share(Arrays.stream(zone).mapToInt(w -> w.hash).toArray(), near);
+        for (int i = 0; i < zone.length; i++) {
+            Worker w = zone[i];
+            w.ours = owners[i] == s.self();
+            // danger: it changes hands with jobs on it, and who fills it now would count their slots as free
+            boolean unknown = w.mine > 0 && w.lender != owners[i];
+            w.lender = w.ours ? -1 : unknown ? owners[i] : w.lender;
+            if (unknown) { tellLender(w); }
         }
-        return best;
     }
 
     /** Which zones have dispatchers, and who fills which worker first, as far as heard. */
@@ -890,14 +888,19 @@
         fleet.closeAll();
         for (Worker w : fleet.byAddress.values()) {
             w.home = homeZone(w);
-            w.owner = w.home == s.zone() ? homePeer(w) : -1;
-            w.ours = w.owner == s.self();
-            for (int i = 0; w.others > 0 && w.state == WorkerState.GONE && i < peers.length; i++) {
-                peers[i].hold(w, 0, now); // its process took all jobs with it, and nobody will say so
+            w.ours = false;
+        }
+        fleet.arrange();
+        own();
+        fleet.gather(s.zone());
+        for (Worker w : fleet.byAddress.values()) {
+            for (int i = 0; w.others > 0 && i < peers.length; i++) {
+                // its process took the jobs with it, or who fills it now hears of them: nobody will tell us
+                boolean near = !w.ours && peers[i].zone == s.zone();
+                if (near || w.state == WorkerState.GONE) { peers[i].hold(w, 0, now); }
             }
             refresh(w);
         }
-        fleet.arrange(s.zone());
     }
 
     private void begin() {
@@ -944,7 +947,7 @@
         now = clock;
         known.take(other.learned());
         processes = other.equals(Beside.NOBODY) ? 1 : 2;
-        repeats = Math.min(repeats, MOST_REPEATS / processes);
+        repeats.share(processes);
         for (Worker w : fleet.byAddress.values()) {
             twin.hold(w, other.jobs().getOrDefault(w.address, 0), now);
             refresh(w);
@@ -964,7 +967,7 @@
         arrivals = 0;
         lastTick = now;
         allowances.fill(seconds, trafficShare);
-        repeats = Math.min(repeats + REPEATS_PER_S / processes * seconds, MOST_REPEATS / processes);
+        repeats.pass(seconds);
         if (ticks++ % 8 == 0 || now - bornAt < SETTLE / 2) {
             forgetSilentPeers();
             learnHomes();
--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -98,7 +98,8 @@
         }
     }
 
-    void arrange(int zone) {
+    /** Sorts the workers by their zones. */
+    void arrange() {
         List<List<Worker>> lists = new ArrayList<>();
         for (int z = 0; z < ring.length; z++) {
             lists.add(new ArrayList<>());
@@ -111,10 +112,14 @@
         for (int z = 0; z < ring.length; z++) {
             ring[z] = lists.get(z).toArray(new Worker[0]);
             Arrays.sort(ring[z], Fleet::byHash);
-            ours = z == zone ? Arrays.stream(ring[z]).filter(w -> w.ours).toArray(Worker[]::new) : ours;
         }
     }
 
+    /** Picks out the workers of our zone that are ours. */
+    void gather(int zone) {
+        ours = Arrays.stream(ring[zone]).filter(w -> w.ours).toArray(Worker[]::new);
+    }
+
     private static int byHash(Worker a, Worker b) {
         int byHash = Integer.compare(a.hash, b.hash);
         return byHash != 0 ? byHash : a.address.compareTo(b.address);
--- a/src/test/java/saffronferry/BoundariesTest.java
+++ b/src/test/java/saffronferry/BoundariesTest.java
@@ -1,5 +1,7 @@
 package saffronferry;
 
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideOutsideOfPackage;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
@@ -14,11 +16,11 @@
 
     @Test
     void decisionsDoNoInputOrOutput() {
-        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.ops",
-                "saffronferry.lab.check", "saffronferry.lab.policy").should().dependOnClassesThat().resideInAnyPackage("io..", "java.net..",
+        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.fleet", "saffronferry.limit",
+                "saffronferry.ops", "saffronferry.lab.check", "saffronferry.lab.policy").should().dependOnClassesThat().resideInAnyPackage("io..", "java.net..",
                 "java.nio..", "java.io..", "java.util.concurrent..", "java.time..").check(ALL);
-        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.ops",
-                "saffronferry.lab.check", "saffronferry.lab.policy").should().callMethod(System.class, "nanoTime").orShould()
+        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.fleet", "saffronferry.limit",
+                "saffronferry.ops", "saffronferry.lab.check", "saffronferry.lab.policy").should().callMethod(System.class, "nanoTime").orShould()
                 .callMethod(System.class, "currentTimeMillis").check(ALL);
     }
 
@@ -26,8 +28,10 @@
     void theLedgerKnowsNoSocketAndTheModuleKnowsNobody() {
         noClasses().that().resideInAPackage("saffronferry.state").should().dependOnClassesThat()
                 .resideInAnyPackage("io..", "saffronferry.wire..", "saffronferry.lifecycle..").check(ALL);
-        noClasses().that().resideInAPackage("saffronferry").should().dependOnClassesThat()
-                .resideInAPackage("saffronferry.*..").check(ALL);
+        noClasses().that().resideInAPackage("saffronferry").should().dependOnClassesThat(resideInAPackage("saffronferry.*..")
+                .and(resideOutsideOfPackage("saffronferry.fleet"))).check(ALL);
+        noClasses().that().resideInAPackage("saffronferry.fleet").should().dependOnClassesThat(
+                resideInAPackage("saffronferry..").and(resideOutsideOfPackage("saffronferry.fleet"))).check(ALL);
         noClasses().that().resideInAPackage("saffronferry.adapter").should().dependOnClassesThat()
                 .resideInAnyPackage("saffronferry.lifecycle..", "saffronferry.wire..").check(ALL);
     }
--- a/src/test/java/saffronferry/DispatcherTest.java
+++ b/src/test/java/saffronferry/DispatcherTest.java
@@ -7,13 +7,18 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
 import saffronferry.Contract.Effect;
 import saffronferry.Contract.Group;
+import saffronferry.Contract.JobClass;
 import saffronferry.Contract.Outcome;
 import saffronferry.Contract.Tenant;
+import saffronferry.Contract.WorkerInfo;
 import saffronferry.Contract.WorkerState;
-import org.junit.jupiter.api.Test;
+import saffronferry.fleet.Owners;
 
 class DispatcherTest {
     private final Rig.Plan plan = new Rig.Plan();
@@ -366,6 +371,68 @@
         assertTrue(rig.sends.size() >= 4, rig.sends.size() + " sent"); // P is one in nine at first
     }
 
+    private static List<String> borrows(Rig rig) {
+        return rig.told.stream().map(Message::read).filter(m -> m.type == Message.Type.BORROWS)
+                .map(m -> m.hash[0] + " " + m.count[0]).toList();
+    }
+
+    /** Seen in eight dispatchers that meet: slots counted as taken by jobs that had ended long ago, or as free. */
+    @Test
+    void whenAWorkerChangesHandsItsNewOwnerHearsOfTheJobsThereAndTheOldOneForgetsThem() {
+        plan.peers = 2;
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"), Rig.worker("b"));
+        for (long id = 1; id <= 4; id++) {
+            rig.ask(id); // alone it fills both
+        }
+        byte[] here = new Message(Message.Type.OFFERS, 0, 1, 1, 1, 50 * Rig.MS).bytes();
+        rig.module.peerMessage(rig.now, 1, here);
+        rig.run(40 * Rig.MS);
+        int a = new Book.Worker("a", 0).hash;
+        int b = new Book.Worker("b", 0).hash;
+        String moved = borrows(rig).contains(a + " 2") ? "a" : "b";
+        int hash = moved.equals("a") ? a : b;
+        assertEquals(List.of(hash + " 2"), borrows(rig)); // one of the two has gone to the other, with its jobs
+        for (Rig.Send send : List.copyOf(rig.sends)) {
+            rig.answer(send.id(), 0, Outcome.OK);
+        }
+        assertEquals(List.of(hash + " 2", hash + " 1", hash + " 0"), borrows(rig));
+    }
+
+    /** Word of a job's end goes to whoever fills its worker now; what we were told before must not stay for good. */
+    @Test
+    void jobsToldOfAWorkerThatHasChangedHandsAreForgotten() {
+        plan.peers = 3;
+        // jobs so long that none is taken for over by its age
+        plan.classes = List.of(new JobClass("c", 300 * Rig.MS, 2, 90 * Rig.S, 1, 0.2, Effect.KEYED, Group.ALL, 7 * Rig.S, -1));
+        WorkerInfo[] all = {Rig.worker("a"), Rig.worker("b"), Rig.worker("c"), Rig.worker("d")};
+        int[] hashes = Arrays.stream(all).mapToInt(w -> new Book.Worker(w.address(), 0).hash).sorted().toArray();
+        int[] two = Owners.share(hashes, new int[] {0, 2});
+        int[] three = Owners.share(hashes, new int[] {0, 1, 2});
+        int moving = IntStream.range(0, 4).filter(i -> two[i] == 0 && three[i] != 0).findFirst().orElseThrow();
+        Rig rig = new Rig(plan.settings()).list(all);
+        byte[] here = new Message(Message.Type.OFFERS, 0, 1, 1, 1, 50 * Rig.MS).bytes();
+        Message borrows = new Message(Message.Type.BORROWS, 0, 1, 1, 1, 50 * Rig.MS);
+        borrows.add(hashes[moving], 2);
+        rig.module.peerMessage(rig.now, 2, borrows.bytes());
+        rig.run(40 * Rig.MS);
+        rig.ask(1);
+        rig.ask(2);
+        rig.ask(3); // of its two workers' four slots two are taken
+        assertEquals(2, rig.sends.size());
+        for (long id = 1; id <= 3; id++) {
+            rig.answer(id, 0, Outcome.OK);
+        }
+        rig.module.peerMessage(rig.now, 1, here);
+        for (int i = 0; i < 20; i++) { // the first falls silent, the second stays
+            rig.run(Rig.S);
+            rig.module.peerMessage(rig.now, 2, here);
+        }
+        for (long id = 11; id <= 14; id++) {
+            rig.ask(id);
+        }
+        assertEquals(7, rig.sends.size());
+    }
+
     /** Seen with 24 dispatchers in six zones: 27 jobs held in one zone beside 17 free slots of another. */
     @Test
     void anOfferIsUsedHoweverManyNeighboursHaveNone() {
--- a/src/test/java/saffronferry/FleetTest.java
+++ b/src/test/java/saffronferry/FleetTest.java
@@ -28,7 +28,7 @@
             w.state = Contract.WorkerState.IN_SERVICE;
             fleet.byAddress.put(w.address, w);
         }
-        fleet.arrange(0);
+        fleet.arrange();
         return fleet;
     }
 
