Leave clients to the new process at its yes, not at SIGTERM, and take them back if it dies

Seen (earlier probe, four upgrades): 1, 3, 2 and 2 jobs open 3.5 s after SIGTERM, all of the class that runs for many seconds, all older than 3.4 s. SIGTERM comes up to 6 s after the new process's yes, and until then the old one took half of the newcomers (Node.drain was the only place that handed over).

Change: Company sees the new one's mark and tells Node, which closes the listening socket and the datagrams' and lets connections go with their answers (Drain.away). If the other dies before SIGTERM, BoundedTransport.takeBack listens again through the first socket's pipeline.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -5,6 +5,7 @@
 import saffronferry.Book.*;
 import saffronferry.Contract.*;
 import saffronferry.fleet.Owners;
+import saffronferry.fleet.TalkBudget;
 
 /** Networked queues: push to a free slot of the own zone, else hold with P, else spill to a neighbour. */
 public final class Dispatcher implements Contract.Events {
@@ -12,10 +13,11 @@
     private static final long TICK = 25_000; // housekeeping step, far below any aim worth having
     private static final long MIN_PERIOD = 50_000; // shortest exchange period: the paper's
     private static final long MAX_PERIOD = 1_000_000; // older news says nothing about jobs of about a second
-    private static final double PEER_SPEND = 0.006; // part of the result that messages may cost
     private static final double PROBE_SPEND = 0.002; // the same for probes
     private static final int PERIODS_KEPT = 6; // messages get lost: a peer is silent only after these
     private static final long OFFER_LIFE = 400_000; // an offered slot stays free about that long
+    private static final long ASK_AGAIN = 10_000; // an answer takes some milliseconds
+    private static final int ASKED = 2; // peers asked at once for a slot
     private static final int OFFER_LOOKS = 16; // peers looked at for an offer, however many there are
     private static final double SPILL_P = 0.9; // a spill needs a neighbour that holds next to nothing
     private static final int SAMPLE = 4; // free workers compared for one job, however many there are
@@ -62,9 +64,10 @@
     private final boolean[] blocked; // classes for which a drain has found no slot
     private double p = 1, r = 1, zoneSlots, share = 1, trafficShare, rate, probeCredit;
     private final RepeatBudget repeats = new RepeatBudget();
+    private final TalkBudget talk;
     private int processes = 1; // of this dispatcher: budgets are for both together
     private int heldSlots, arrivals, homesMark, turn, probeTurn, checkTurn, subscribeFailures, goneByNow;
-    private long now, lastTick, bornAt, nextExchange, spent, offersUntil, ticks, period = MIN_PERIOD;
+    private long now, lastTick, bornAt, nextExchange, askedAt, offersUntil, ticks, period = MIN_PERIOD;
     private final boolean probing;
     private boolean begun, settled, mayOpen = true;
 
@@ -81,6 +84,7 @@
         }
         peers = new Peer[settings.peers()];
         for (int i = 0; i < peers.length; i++) { peers[i] = new Peer(i); }
+        talk = new TalkBudget(settings.peerPrice(), Message.MOST_BYTES, MIN_PERIOD, MAX_PERIOD);
         known = new Lessons(settings.kinds(), settings.classes(), FIRST_MEAN);
         longest = settings.classes().stream()
                 .mapToLong(c -> c.deadline() > 0 ? c.deadline() : NO_DEADLINE).max()
@@ -114,6 +118,7 @@
         } else {
             hold(j, false);
             drain();
+            if (j.queue != null) { ask(); }
         }
     }
 
@@ -131,9 +136,7 @@
     static double accept(double n, double m) { return m / (n + m); }
 
     private boolean roomForLate() {
-        int late = 0;
-        for (HeldQueue[] of : queues) { late += of[LATE].slots; }
-        return late < zoneSlots * share * LATE_ROOM;
+        return Arrays.stream(queues).mapToInt(of -> of[LATE].slots).sum() < zoneSlots * share * LATE_ROOM;
     }
 
     /** An own-zone worker of the class's kind with enough free slots, or null. */
@@ -393,19 +396,15 @@
     /** Tells neighbours (P, R) and what they need of our slots; the period stretches with what that costs. */
     private void exchange() {
         r = 1 - (1 - p) * notAccepting();
-        double messagesPerS = PEER_SPEND / Math.max(s.peerPrice(), 1e-4) * Math.max(rate, 1);
-        double bytesPerS = messagesPerS * Message.MOST_BYTES;
         Message offer = offers();
-        int fan = (int) Math.max(1, Math.min(peers.length, bytesPerS * MIN_PERIOD * 2 / 1e6 / offer.size()));
-        tellZone(fan, offer);
+        tellZone(talk.fan(peers.length, offer.size(), rate), offer);
         tellNeighbours();
-        period = Math.max(MIN_PERIOD, Math.min(MAX_PERIOD, (long) (spent / bytesPerS * 1e6)));
-        spent = 0;
+        period = talk.period(rate);
     }
 
     private void tell(int peer, Message m) {
         if (!s.mayTell() || peer == s.self()) { return; }
-        spent += m.size();
+        talk.spent(m.size());
         out.tell(peer, m.bytes());
     }
 
@@ -428,6 +427,14 @@
         }
     }
 
+    /** Who has a free slot answers at once: a job just held must not wait for the next exchange to ask. */
+    private void ask() {
+        p = acceptance();
+        if (now - askedAt < ASK_AGAIN || period > MIN_PERIOD * 2) { return; }
+        askedAt = now;
+        tellZone(ASKED, offers());
+    }
+
     /** Product of 1-P over neighbours. */
     private double notAccepting() {
         double product = 1;
@@ -496,9 +503,11 @@
     /** Danger: a zone that lost its workers would hold and refuse while a neighbour's stand idle. */
     private void spillHeld() {
         p = acceptance();
-        for (HeldQueue[] of : queues) {
-            Job j = of[IN_SHARE].head;
-            while (j != null && random.nextDouble() >= p && spill(j)) { j = of[IN_SHARE].head; }
+        for (int rank : new int[] {IN_SHARE, LATE}) { // what lies beyond a share is not worth a crossing
+            for (HeldQueue[] of : queues) {
+                Job j = of[rank].head;
+                while (j != null && random.nextDouble() >= p && spill(j)) { j = of[rank].head; }
+            }
         }
     }
 
--- a/src/main/java/saffronferry/lifecycle/Company.java
+++ b/src/main/java/saffronferry/lifecycle/Company.java
@@ -3,7 +3,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.io.IOException;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import saffronferry.Beside;
 import saffronferry.limit.Descriptors;
@@ -23,7 +22,19 @@
     private static final long ALONE_MS = 250;
 
     /** What one look has found; the bans are null where nobody else has changed them. */
-    private record Found(Succession.Company others, Bans bans) { }
+    private record Found(Succession.Company others, Bans bans, boolean replaced) { }
+
+    /** Who hears of it. For the event loop. */
+    interface Listener {
+        /** What the others tell has changed. */
+        void told(Beside beside);
+
+        /** Others have changed the bans. */
+        void banned(Bans bans);
+
+        /** Another process serves in our place, or does so no more. */
+        void replaced(boolean served);
+    }
 
     private final Vertx vertx;
     private final Succession succession;
@@ -32,8 +43,9 @@
     private final BoundedLog log;
     private Succession.Company last;
     private Supplier<Beside> own;
-    private Consumer<Beside> onTold;
-    private Consumer<Bans> onBans;
+    private Listener listener;
+    private boolean announced;
+    private boolean replaced;
 
     /** Announces this process, so that others share with it what a dispatcher may hold. Reads files. */
     Company(Vertx vertx, Succession succession, BanFile file, Descriptors descriptors, BoundedLog log) {
@@ -52,12 +64,11 @@
         descriptors.share(1 + last.others());
     }
 
-    /** From now on others are told what {@code own} says; their word, and changed bans, are handed on. */
-    void keep(Supplier<Beside> own, Consumer<Beside> told, Consumer<Bans> changed) {
+    /** From now on others are told what {@code own} says, and what comes of them is handed on. */
+    void keep(Supplier<Beside> own, Listener listener) {
         this.own = own;
-        onTold = told;
-        onBans = changed;
-        onTold.accept(last.told());
+        this.listener = listener;
+        listener.told(last.told());
         lookLater();
     }
 
@@ -68,7 +79,10 @@
     /** The next look is set when this one has ended: looks must not pile up behind a slow folder. */
     private void look() {
         Beside said = last.others() > 0 ? own.get() : Beside.NOBODY;
-        vertx.executeBlocking(() -> new Found(succession.exchange(said), changedBans())).onComplete(found -> {
+        vertx.executeBlocking(() -> {
+            Succession.Company others = succession.exchange(said);
+            return new Found(others, changedBans(), others.others() > 0 && succession.replaced());
+        }).onComplete(found -> {
             lookLater();
             if (found.failed()) {
                 log.line("no look at the others", String.valueOf(found.cause()));
@@ -76,7 +90,12 @@
             }
             meet(found.result().others());
             if (found.result().bans() != null) {
-                onBans.accept(found.result().bans());
+                listener.banned(found.result().bans());
+            }
+            // one that is yet to serve finds the mark of the one that it is to replace
+            if (announced && found.result().replaced() != replaced) {
+                replaced = !replaced;
+                listener.replaced(replaced);
             }
         });
     }
@@ -96,7 +115,7 @@
             descriptors.share(1 + next.others());
         }
         if (!next.told().equals(last.told())) {
-            onTold.accept(next.told());
+            listener.told(next.told());
         }
         last = next;
     }
@@ -106,7 +125,7 @@
         return vertx.<Void>executeBlocking(() -> {
             succession.serving();
             return null;
-        }).recover(e -> {
+        }).onSuccess(v -> announced = true).recover(e -> {
             // guards a start against a folder that cannot be written: only an upgrade would lose by it
             log.line("not announced", String.valueOf(e));
             return Future.succeededFuture();
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -11,6 +11,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
 import saffronferry.Balancer;
+import saffronferry.Beside;
 import saffronferry.News;
 import saffronferry.limit.AcceptGate;
 import saffronferry.limit.Descriptors;
@@ -165,11 +166,40 @@
 
     private void keepCompany() {
         if (company != null) {
-            company.keep(wire.ledger()::beside, told -> wire.ledger().report(new News.RunsBeside(told)),
-                    desk::follow);
+            company.keep(wire.ledger()::beside, new Company.Listener() {
+                @Override
+                public void told(Beside beside) {
+                    wire.ledger().report(new News.RunsBeside(beside));
+                }
+
+                @Override
+                public void banned(Bans next) {
+                    desk.follow(next);
+                }
+
+                @Override
+                public void replaced(boolean served) {
+                    leave(served);
+                }
+            });
         }
     }
 
+    /** Leaves clients to a process that serves in our place by now, or takes them again when it is gone. */
+    private void leave(boolean served) {
+        if (drain.ending()) {
+            return;
+        }
+        log.line(served ? "replaced" : "not replaced any more", "at " + config.listen);
+        drain.away(served);
+        if (served) {
+            wire.handOver();
+        } else {
+            wire.takeBack(config.listen);
+        }
+        followDrain();
+    }
+
     private Future<Void> openConsole() {
         desk = new Console(vertx, wire.ledger(), figures, banFile, new Console.Floor() {
             @Override
@@ -232,11 +262,10 @@
                 .orElse(LONGEST_MS);
         long counted = Math.max(STILL_LISTEN_MS, Math.min(longest, LONGEST_MS));
         log.line("draining", wire.ledger().unanswered() + " RPCs are open");
-        drain.end(now(), counted - LAST_INTAKE_MS, elsewhere);
-        if (elsewhere) {
-            log.line("replaced", "another process serves at " + config.listen);
-            wire.handOver();
+        if (drain.elsewhere() != elsewhere) {
+            leave(elsewhere);
         }
+        drain.end(now(), counted - LAST_INTAKE_MS, elsewhere);
         followDrain();
         vertx.setTimer(STILL_LISTEN_MS, t ->
                 wire.ledger().endWithin(counted + AFTER_LONGEST_MS - STILL_LISTEN_MS));
--- a/src/main/java/saffronferry/ops/Drain.java
+++ b/src/main/java/saffronferry/ops/Drain.java
@@ -24,6 +24,7 @@
 
     private boolean called;
     private long calledAt;
+    private boolean away;
     private boolean ending;
     private boolean elsewhere;
     private long leavesAt;
@@ -41,6 +42,14 @@
         return !ending;
     }
 
+    /**
+     * Another process has begun to serve at our address, or is gone: each connection leaves with its answer,
+     * for the next request can go there at once. The end of this process then finds less to cut off.
+     */
+    public void away(boolean served) {
+        away = served;
+    }
+
     /**
      * The process ends. Kept connections are served for {@code keptMs} more; where another process serves the
      * same address they are left as their requests are answered, for the next one can go there at once.
@@ -58,15 +67,15 @@
         return ending;
     }
 
-    /** Whether the process ends and another one serves at its address. */
+    /** Whether another process serves at our address, so that it is no matter whether this one is left. */
     public boolean elsewhere() {
-        return elsewhere;
+        return ending ? elsewhere : away;
     }
 
     public Phase phase(long now) {
         Phase byCall = !called ? Phase.OPEN
                 : at(now, calledAt + TURNED, calledAt + EMPTIED);
-        Phase byEnd = !ending ? Phase.OPEN : at(now, leavesAt, emptyAt);
+        Phase byEnd = ending ? at(now, leavesAt, emptyAt) : away ? Phase.LEAVING : Phase.OPEN;
         return byCall.compareTo(byEnd) > 0 ? byCall : byEnd;
     }
 
--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -18,6 +18,7 @@
 import io.vertx.core.impl.transports.JDKTransport;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.NetworkChannel;
 import java.nio.channels.SocketChannel;
@@ -74,7 +75,22 @@
 
     /** Gives the clients' address up to another process that listens there. */
     void handOver() {
-        acceptors.stream().filter(a -> a.gate == clients.gate).forEach(a -> a.handOver(MOST_HAND_OVERS));
+        acceptors.stream().filter(a -> a.gate == clients.gate).forEach(Acceptor::giveUp);
+    }
+
+    /** Listens there again, since the other process is gone. */
+    void takeBack(InetSocketAddress at) {
+        Acceptor first = acceptors.stream().filter(a -> a.gate == clients.gate).findFirst().orElseThrow();
+        Acceptor heir = new Acceptor(clients, first);
+        heir.config().setBacklog(first.config().getBacklog());
+        acceptors.removeIf(a -> a.home != a && !a.isOpen()); // heirs that were given up since
+        acceptors.add(heir);
+        loops.register(heir).addListener(registered -> heir.bind(at).addListener(bound -> {
+            if (!bound.isSuccess()) {
+                log.line("cannot listen again", String.valueOf(bound.cause()));
+                onListenerLost.run();
+            }
+        }));
     }
 
     /** Two processes, the one about to replace the other, listen at the same address. */
@@ -118,7 +134,7 @@
 
     /** A listening socket, yet to be bound, for what comes in by this door. */
     ServerChannel listener(Door door) {
-        Acceptor acceptor = new Acceptor(door);
+        Acceptor acceptor = new Acceptor(door, null);
         acceptors.add(acceptor);
         return acceptor;
     }
@@ -132,22 +148,34 @@
     private final class Acceptor extends NioServerSocketChannel {
         private final AcceptGate gate;
         private final Lobby lobby;
+        /** The one that the library set up, and through which it hears of connections. */
+        private final Acceptor home;
+        private boolean given;
         private boolean paused;
         private int taken;
 
-        Acceptor(Door door) {
+        Acceptor(Door door, Acceptor home) {
+            this.home = home == null ? this : home;
             gate = door.gate;
             lobby = door.lobby;
             shareAddress(javaChannel());
         }
 
+        /** Once only: at the other process's yes, or at SIGTERM, whichever comes first. */
+        void giveUp() {
+            if (!given) {
+                given = true;
+                handOver(MOST_HAND_OVERS);
+            }
+        }
+
         /**
          * Takes in what waits in the system's queue, whose connections would be reset with the socket, and
          * closes the socket in the same breath. The selector lets go of it first: a socket that a selector
          * knows is closed only at the selector's next turn, and takes connections until then. The library is
          * not told of the close, for it still sets up those that have been accepted and are yet to speak.
          */
-        void handOver(int tries) {
+        private void handOver(int tries) {
             selectionKey().cancel();
             afterNextSelect(eventLoop(), () -> {
                 int before;
@@ -206,8 +234,8 @@
         }
 
         private void speaks(SocketChannel socket, long since, ByteBuf said) {
-            Accepted connection = new Accepted(this, socket, since, gate);
-            pipeline().fireChannelRead(connection); // the library registers it and sets it up, here and now
+            Accepted connection = new Accepted(home, socket, since, gate);
+            home.pipeline().fireChannelRead(connection); // the library registers it and sets it up, now
             if (connection.isRegistered()) {
                 connection.pipeline().fireChannelRead(said);
                 connection.pipeline().fireChannelReadComplete();
--- a/src/main/java/saffronferry/wire/PeerSocket.java
+++ b/src/main/java/saffronferry/wire/PeerSocket.java
@@ -16,12 +16,13 @@
 final class PeerSocket {
     static final int MOST_BYTES = 256;
 
-    private final DatagramSocket socket;
+    private final Vertx vertx;
+    private DatagramSocket socket;
     private final List<Address> peers;
     private final Map<String, Integer> numbers = new HashMap<>();
     private final BiConsumer<Integer, byte[]> heard;
     private final BoundedLog log;
-    private boolean closed;
+    private boolean closed = true;
 
     PeerSocket(Vertx vertx, List<Address> peers, BiConsumer<Integer, byte[]> heard, BoundedLog log) {
         this.peers = peers;
@@ -30,19 +31,24 @@
         for (int i = 0; i < peers.size(); i++) {
             numbers.put(peers.get(i).toString(), i);
         }
-        socket = vertx.createDatagramSocket(new DatagramSocketOptions());
-        socket.exceptionHandler(e -> log.line("peer socket", String.valueOf(e.getMessage())));
-        socket.handler(this::receive);
+        this.vertx = vertx;
     }
 
+    /** Opens the socket, after {@link #close} too. */
     Future<?> listen(Address at) {
+        socket = vertx.createDatagramSocket(new DatagramSocketOptions());
+        socket.exceptionHandler(e -> log.line("peer socket", String.valueOf(e.getMessage())));
+        socket.handler(this::receive);
+        closed = false;
         return socket.listen(at.port(), at.host());
     }
 
     /** Leaves all datagrams to another process at our address. */
     void close() {
-        closed = true;
-        socket.close();
+        if (!closed) {
+            closed = true;
+            socket.close();
+        }
     }
 
     void tell(int peer, byte[] bytes) {
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import java.net.InetSocketAddress;
 import java.util.List;
 import saffronferry.Balancer;
 import saffronferry.Contract.JobClass;
@@ -93,6 +94,14 @@
         transport.handOver();
     }
 
+    /** The other process is gone: listens at our addresses again. */
+    public void takeBack(Address clients) {
+        transport.takeBack(new InetSocketAddress(clients.host(), clients.port()));
+        if (peerListen != null) {
+            peers.listen(peerListen).onFailure(e -> log.line("peer socket", String.valueOf(e.getMessage())));
+        }
+    }
+
     /** Asks another discovery from now on; the list held, the subchannels and the RPCs stay. */
     public void follow(Address next) {
         discovery.follow(next);
--- a/src/test/java/saffronferry/lifecycle/CompanyTest.java
+++ b/src/test/java/saffronferry/lifecycle/CompanyTest.java
@@ -41,7 +41,18 @@
                 }
             }, file, new Descriptors(1024, 32), new BoundedLog());
             looks.set(0);
-            vertx.runOnContext(v -> company.keep(() -> Beside.NOBODY, told -> { }, heard::complete));
+            vertx.runOnContext(v -> company.keep(() -> Beside.NOBODY, new Company.Listener() {
+                @Override
+                public void told(Beside beside) { }
+
+                @Override
+                public void banned(Bans bans) {
+                    heard.complete(bans);
+                }
+
+                @Override
+                public void replaced(boolean served) { }
+            }));
             Thread.sleep(1500);
             int alone = looks.get();
             assertTrue(alone + " looks of a process alone in 1.5 s", alone >= 2 && alone <= 7);
--- a/src/test/java/saffronferry/lifecycle/UpgradeTest.java
+++ b/src/test/java/saffronferry/lifecycle/UpgradeTest.java
@@ -148,6 +148,47 @@
         assertEquals(0, b.requests.size());
     }
 
+    /** From its yes on the new one has all clients, so that the old one's end finds nothing; dead, it loses them again. */
+    @Test
+    public void theOldOneLeavesClientsAtTheNewOnesYesAndTakesThemBackWhenThatDies() throws Exception {
+        a.script = Peer.slow(5);
+        b.script = Peer.slow(5);
+        Process old = next(config);
+        awaitReady();
+        String console = config.getString("console");
+        assertEquals(200, get(gift(3000)).statusCode());
+        for (int round = 0; round < 2; round++) {
+            Process fresh = next(config);
+            awaitReady();
+            String newConsole = config.getString("console");
+            config.put("console", console);
+            Thread.sleep(300); // three looks
+            double before = figure("app_responses{kind=\"record-gift\",result=\"ok\"}");
+            for (int i = 0; i < 20; i++) {
+                assertEquals(200, get(gift(3000)).statusCode());
+            }
+            assertEquals("the old one still serves clients", before,
+                    figure("app_responses{kind=\"record-gift\",result=\"ok\"}"), 1.0); // one kept connection may leave
+            assertTrue(call("GET", "/ops/readiness").startsWith("200"));
+            fresh.destroyForcibly().waitFor();
+            await(() -> {
+                try (Socket s = connect()) {
+                    return true;
+                } catch (IOException e) {
+                    return false;
+                }
+            });
+            before = figure("app_responses{kind=\"record-gift\",result=\"ok\"}");
+            for (int i = 0; i < 20; i++) {
+                assertEquals(200, get(gift(3000)).statusCode());
+            }
+            assertEquals(before + 20, figure("app_responses{kind=\"record-gift\",result=\"ok\"}"), 0.1);
+            assertFalse("another console", console.equals(newConsole));
+        }
+        old.destroy();
+        assertTrue(old.waitFor(5, TimeUnit.SECONDS));
+    }
+
     /** A new process that never serves leaves the old one as it is: its end is a plain one. */
     @Test
     public void aNewProcessThatDiesAtOnceLeavesTheOldOneServing() throws Exception {
--- a/src/test/java/saffronferry/ops/OpsTest.java
+++ b/src/test/java/saffronferry/ops/OpsTest.java
@@ -93,6 +93,22 @@
         assertEquals(Phase.EMPTY, drain.phase(3_900));
     }
 
+    @Test
+    void whileAnotherProcessServesConnectionsLeaveAndItMayBeTakenBackUntilTheEnd() {
+        Drain drain = new Drain();
+        drain.away(true);
+        assertEquals(Phase.LEAVING, drain.phase(0));
+        assertTrue(drain.elsewhere() && !drain.ending());
+        assertEquals(-1, drain.untilNext(0)); // nothing is closed that is idle
+        drain.away(false);
+        assertEquals(Phase.OPEN, drain.phase(0));
+        drain.away(true);
+        drain.end(1_000, 2_900, true);
+        assertEquals(Phase.LEAVING, drain.phase(1_000));
+        assertEquals(Phase.EMPTY, drain.phase(3_900));
+        assertTrue(drain.elsewhere());
+    }
+
     /** Whatever is called in whatever order: no yes while a drain holds, and the phase is waited for rightly. */
     @Test
     void anySequenceOfCallsKeepsTheStatesInOrder() {
