--- a/src/main/java/saffronferry/Contract.java
+++ b/src/main/java/saffronferry/Contract.java
@@ -44,12 +44,16 @@
     /** A tenant and the requests a second, over all dispatchers, within its share; 0 = no limit known. */
     record Tenant(String name, double allowancePerS) { }
 
-    /** Settings of one dispatcher; {@code maxRetryAfter} 0: clients are not told when to come back. */
+    /**
+     * Settings of one dispatcher; {@code maxRetryAfter} 0: clients are not told when to come back. {@code
+     * mostUnasked}: so long may one go without asking for the list once a call has failed.
+     */
     record Settings(long seed, int self, int peers, int zone, int zones, int kinds, List<JobClass> classes,
                     List<Tenant> tenants, int maxAttempts, boolean parallel,
                     boolean mayCancel, boolean mayProbe, boolean reports, boolean mayTell,
                     boolean listOnDemand, boolean tellsStart, long progressEvery, long cold, double coldShare,
-                    double fallMultiple, long maxRetryAfter, double peerPrice, double probePrice) {
+                    double fallMultiple, long maxRetryAfter, double peerPrice, double probePrice,
+                    long mostUnasked) {
         public Settings {
             require(peers >= 1, "peers", peers);
             require(zone >= 0 && zone < zones, "zone", zone);
@@ -59,6 +63,7 @@
             require(cold >= 0, "cold", cold);
             require(coldShare > 0 && coldShare <= 1, "coldShare", coldShare);
             require(fallMultiple > 0, "fallMultiple", fallMultiple);
+            require(mostUnasked >= 1_000_000, "mostUnasked", mostUnasked);
             classes = List.copyOf(classes);
             tenants = List.copyOf(tenants);
         }
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.*;
 import saffronferry.Book.*;
 import saffronferry.Contract.*;
+import saffronferry.fleet.CallPace;
 import saffronferry.fleet.Owners;
 import saffronferry.fleet.TalkBudget;
 
@@ -16,8 +17,6 @@
     private static final double PROBE_SPEND = 0.002; // the same for probes
     private static final int PERIODS_KEPT = 6; // messages get lost: a peer is silent only after these
     private static final long OFFER_LIFE = 400_000; // an offered slot stays free about that long
-    private static final long ASK_AGAIN = 10_000; // an answer takes some milliseconds
-    private static final int ASKED = 2; // peers asked at once for a slot
     private static final int OFFER_LOOKS = 16; // peers looked at for an offer, however many there are
     private static final double SPILL_P = 0.9; // a spill needs a neighbour that holds next to nothing
     private static final int SAMPLE = 4; // free workers compared for one job, however many there are
@@ -38,7 +37,6 @@
     private static final long PROBE_AGAIN = 150_000; // a worker that had nothing to report yet
     private static final long SETTLE = 2_000_000; // a zone not heard from by then has no dispatcher
     private static final long LEFT_ALONE = 10_000_000; // nor has one that has been silent so long
-    private static final long SUBSCRIBE_WAIT = 300_000; // before asking for the list again; doubles once
     private static final double RATE_SPAN = 2; // seconds over which our rate is averaged
     private static final long NO_DEADLINE = 3_600_000_000L; // what stands for it where a class states none
     private static final long TICK_TOKEN = 1;
@@ -65,9 +63,10 @@
     private double p = 1, r = 1, zoneSlots, share = 1, trafficShare, rate, probeCredit;
     private final RepeatBudget repeats = new RepeatBudget();
     private final TalkBudget talk;
+    private final CallPace calls;
     private int processes = 1; // of this dispatcher: budgets are for both together
-    private int heldSlots, arrivals, homesMark, turn, probeTurn, checkTurn, subscribeFailures, goneByNow;
-    private long now, lastTick, bornAt, nextExchange, askedAt, offersUntil, ticks, period = MIN_PERIOD;
+    private int heldSlots, arrivals, homesMark, turn, probeTurn, checkTurn, goneByNow;
+    private long now, lastTick, bornAt, nextExchange, offersUntil, ticks, period = MIN_PERIOD;
     private final boolean probing;
     private boolean begun, settled, mayOpen = true;
 
@@ -84,6 +83,7 @@
         }
         peers = new Peer[settings.peers()];
         for (int i = 0; i < peers.length; i++) { peers[i] = new Peer(i); }
+        calls = new CallPace(settings.peers(), settings.mostUnasked());
         talk = new TalkBudget(settings.peerPrice(), Message.MOST_BYTES, MIN_PERIOD, MAX_PERIOD);
         known = new Lessons(settings.kinds(), settings.classes(), FIRST_MEAN);
         longest = settings.classes().stream()
@@ -118,7 +118,6 @@
         } else {
             hold(j, false);
             drain();
-            if (j.queue != null) { ask(); }
         }
     }
 
@@ -427,14 +426,6 @@
         }
     }
 
-    /** Who has a free slot answers at once: a job just held must not wait for the next exchange to ask. */
-    private void ask() {
-        p = acceptance();
-        if (now - askedAt < ASK_AGAIN || period > MIN_PERIOD * 2) { return; }
-        askedAt = now;
-        tellZone(ASKED, offers());
-    }
-
     /** Product of 1-P over neighbours. */
     private double notAccepting() {
         double product = 1;
@@ -822,7 +813,7 @@
         for (WorkerInfo e : entries) { changed |= take(e, first); }
         if (changed) { arrange(); }
         if (first) { begin(); }
-        if (kind != ListKind.WARM_COPY) { subscribeFailures = 0; }
+        if (kind != ListKind.WARM_COPY) { calls.served(); }
     }
 
     private boolean take(WorkerInfo e, boolean first) {
@@ -926,7 +917,8 @@
             probeTurn = random.nextInt(1 << 20);
             probeSome();
         }
-        if (s.listOnDemand()) { out.subscribe(); }
+        long first = calls.first(random);
+        if (s.listOnDemand()) { call(first); }
     }
 
     // Danger: attempts that cannot be opened end at once and use up all tries
@@ -938,17 +930,15 @@
 
     @Override public void workersUnavailable(long clock) {
         now = clock;
-        // danger: what discovery has to tell counts as told 4 s after a change of its address
-        long wait = SUBSCRIBE_WAIT << Math.min(subscribeFailures, 1);
-        subscribeFailures = next(subscribeFailures);
-        out.timer(SUBSCRIBE_TOKEN, wait / 2 + random.nextLong(wait));
+        call(calls.again(random));
     }
 
-    @Override public int avoided() {
-        return (int) fleet.byAddress.values().stream()
-                .filter(w -> w.suspect && w.state == WorkerState.IN_SERVICE).count();
+    private void call(long after) {
+        if (after > 0) { out.timer(SUBSCRIBE_TOKEN, after); } else { out.subscribe(); }
     }
 
+    @Override public int avoided() { return fleet.avoided(); }
+
     // ---- another process of this dispatcher, to replace or to be replaced by ----
     @Override public Beside beside() { return new Beside(fleet.jobs(), known.told()); }
 
--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -38,6 +38,12 @@
         return jobs;
     }
 
+    /** How many in service are given no jobs for now, but for a trial. */
+    int avoided() {
+        return (int) byAddress.values().stream()
+                .filter(w -> w.suspect && w.state == WorkerState.IN_SERVICE).count();
+    }
+
     /** Groups of workers that may have a free slot: one for each kind, and one for unknown kinds. */
     int groups() {
         return count.length;
--- /dev/null
+++ b/src/main/java/saffronferry/fleet/CallPace.java
@@ -0,0 +1,54 @@
+package saffronferry.fleet;
+
+import java.util.SplittableRandom;
+
+/**
+ * When a dispatcher calls discovery, which is one service for the whole fleet and handles calls in turn. A
+ * call that has waited too long fails and has cost discovery its work all the same: where more call than it
+ * can serve in that time, and each that failed calls again at once, no call is served any more, for good.
+ * So the calls of a large fleet are spread over the time that all of them take, and over more after each
+ * failure. A few dispatchers cannot make a line so long, and call at once. Times in microseconds.
+ */
+public final class CallPace {
+    /** So many callers can wait in turn, and the last one is still served in time. */
+    private static final int SHORT_LINE = 8;
+    /** The first calls of a fleet that starts together are so far apart; one alone should not wait long. */
+    private static final long EACH_FIRST = 150_000;
+    /** A failure shows that the line is too long already, with calls in it that nobody waits for any more. */
+    private static final long EACH_AGAIN = 500_000;
+    private static final double GROWTH = 1.5;
+    private static final long AGAIN = 300_000; // at least, before asking again; doubles once
+    private static final int MOST_FAILURES = 16;
+
+    private final int line; // callers beyond those that can wait in turn
+    private final long longest;
+    private int failures;
+
+    /**
+     * A pace among so many callers.
+     *
+     * @param longest the most that may pass between a failed call and the next one
+     */
+    public CallPace(int callers, long longest) {
+        line = Math.max(0, callers - SHORT_LINE);
+        this.longest = longest;
+    }
+
+    /** How long until the first call: a fleet may have started together, or this one alone. */
+    public long first(SplittableRandom random) {
+        return line == 0 ? 0 : random.nextLong(line * EACH_FIRST);
+    }
+
+    /** How long until the next call, one having failed or a watch having ended: that of all may have. */
+    public long again(SplittableRandom random) {
+        long least = AGAIN << Math.min(failures, 1);
+        long spread = (long) Math.min(longest - least, line * EACH_AGAIN * Math.pow(GROWTH, failures));
+        failures = Math.min(failures + 1, MOST_FAILURES);
+        return least / 2 + random.nextLong(least) + (spread > 0 ? random.nextLong(spread) : 0);
+    }
+
+    /** Discovery has told something. */
+    public void served() {
+        failures = 0;
+    }
+}
--- a/src/main/java/saffronferry/lab/world/World.java
+++ b/src/main/java/saffronferry/lab/world/World.java
@@ -183,7 +183,7 @@
                 scenario.zones().size(), scenario.kinds().size(), classes, tenants,
                 rules.mostTries(), true, true, true, scenario.reports().on(), true, true, true, 0, cold,
                 coldShare,
-                rules.fallMultiple(), rules.maxRetryAfter(), prices.peer(), prices.probe());
+                rules.fallMultiple(), rules.maxRetryAfter(), prices.peer(), prices.probe(), 40_000_000);
     }
 
     // ---- who is there ----
--- a/src/main/java/saffronferry/settings/SettingsReader.java
+++ b/src/main/java/saffronferry/settings/SettingsReader.java
@@ -16,6 +16,11 @@
  * does not know are skipped. What is wrong is an {@link IllegalArgumentException} that names the key.
  */
 public final class SettingsReader {
+    /** Where the settings do not say how soon discovery is to be asked, in seconds. */
+    private static final double ASK_WITHIN = 10;
+    /** So many times as long is allowed after a call that failed. */
+    private static final int AFTER_FAILURE = 4;
+
     public final Settings settings;
     public final List<String> classes;
     public final List<String> tenants;
@@ -63,7 +68,8 @@
                     flag(family, "tellsStart"), micros(family, "progress"),
                     micros(rules, "cold"), number(rules, "coldShare", 1), number(rules, "fallMultiple", 1),
                     flag(limits, "retryAfter") ? micros(limits, "maxRetryAfter") : 0,
-                    number(prices, "peer", 0), number(prices, "probe", 0));
+                    number(prices, "peer", 0), number(prices, "probe", 0),
+                    (long) (AFTER_FAILURE * number(rules, "askWithin", ASK_WITHIN) * 1e6));
         } catch (JSONException e) {
             throw new IllegalArgumentException(e.getMessage());
         }
--- a/src/test/java/saffronferry/Rig.java
+++ b/src/test/java/saffronferry/Rig.java
@@ -58,7 +58,7 @@
 
         Settings settings() {
             return new Settings(seed, self, peers, zone, zones, 2, classes, tenants, maxAttempts, parallel, true,
-                    true, true, true, onDemand, tellsStart, 0, 10 * S, 0.2, 3, maxRetryAfter, peerPrice, 0.002);
+                    true, true, true, onDemand, tellsStart, 0, 10 * S, 0.2, 3, maxRetryAfter, peerPrice, 0.002, 40_000_000);
         }
     }
 
--- /dev/null
+++ b/src/test/java/saffronferry/fleet/CallPaceTest.java
@@ -0,0 +1,81 @@
+package saffronferry.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Many callers and one discovery, which serves in turn; a call that waits over 2.2 s fails and costs it all the same. */
+class CallPaceTest {
+    private static final long PATIENCE = 2_200_000;
+    private static final long LONGEST = 40_000_000;
+
+    /** When a caller calls. */
+    private record Due(long at, int caller) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            return Long.compare(at, other.at);
+        }
+    }
+
+    /** Plays until all are served, or for two minutes; the result is when the last one was, and the most calls of one. */
+    private static long[] play(int callers, double perSecond, long longest, boolean together, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        CallPace[] paces = new CallPace[callers];
+        int[] calls = new int[callers];
+        PriorityQueue<Due> due = new PriorityQueue<>();
+        for (int c = 0; c < callers; c++) {
+            paces[c] = new CallPace(callers, longest);
+            due.add(new Due(together ? 0 : paces[c].first(random), c));
+        }
+        long freeAt = 0;
+        long last = 0;
+        while (!due.isEmpty() && due.peek().at < 120_000_000) {
+            Due call = due.poll();
+            calls[call.caller]++;
+            freeAt = Math.max(freeAt, call.at) + Math.round(1e6 / perSecond);
+            if (freeAt - call.at > PATIENCE) {
+                due.add(new Due(call.at + PATIENCE + paces[call.caller].again(random), call.caller));
+            } else {
+                paces[call.caller].served();
+                last = Math.max(last, freeAt);
+            }
+        }
+        return new long[] {due.isEmpty() ? last : Long.MAX_VALUE, java.util.Arrays.stream(calls).max().getAsInt()};
+    }
+
+    /** {@code most}: seconds until the last one is served; {@code calls}: what one makes at most. */
+    @ParameterizedTest
+    @CsvSource({"4, 3, 2, 1", "8, 5, 5, 2", "24, 5, 25, 6", "40, 5, 45, 6", "70, 7, 75, 6", "100, 5, 120, 8"})
+    void allAreServedThoughAllStartAtOnce(int callers, double perSecond, long most, long calls) {
+        for (long seed = 1; seed <= 20; seed++) {
+            for (boolean together : new boolean[] {false, true}) {
+                long[] served = play(callers, perSecond, LONGEST, together, seed);
+                assertTrue(served[0] <= most * 1_000_000, (together ? "together" : "spread") + " seed " + seed + ": last after "
+                        + served[0] / 1e6 + " s");
+                assertTrue(served[1] <= calls, served[1] + " calls of one");
+            }
+        }
+    }
+
+    /** The fault: without the spread forty callers hold each other off for good. */
+    @Test
+    void callersThatAskAgainAtOnceAreNeverServed() {
+        assertEquals(Long.MAX_VALUE, play(40, 5, 600_000, true, 1)[0]);
+    }
+
+    @Test
+    void aFewCallAtOnceAndSoonAgain() {
+        SplittableRandom random = new SplittableRandom(1);
+        CallPace pace = new CallPace(4, LONGEST);
+        assertEquals(0, pace.first(random));
+        for (int i = 0; i < 20; i++) {
+            long wait = pace.again(random);
+            assertTrue(wait >= 150_000 && wait <= 900_000, wait + " us");
+        }
+    }
+}
--- a/src/test/java/saffronferry/lab/check/Stage.java
+++ b/src/test/java/saffronferry/lab/check/Stage.java
@@ -219,7 +219,7 @@
             ledger = new Ledger<>(new Balancer(new Settings(dice.nextLong(), number, scenario.dispatchers(),
                     number % scenario.zones().size(), scenario.zones().size(), 1, classes,
                     List.of(new Tenant("all", 0)), r.mostTries(), true, true, true, true, true, true, true, 0,
-                    COLD, 0.33, r.fallMultiple(), r.maxRetryAfter(), 0.008, 0.01)), new Clock() {
+                    COLD, 0.33, r.fallMultiple(), r.maxRetryAfter(), 0.008, 0.01, 40_000_000)), new Clock() {
                         @Override
                         public long now() {
                             return START + now;
