--- a/src/main/java/saffronferry/cli/LabCommand.java
+++ b/src/main/java/saffronferry/cli/LabCommand.java
@@ -196,11 +196,11 @@
     }
 
     private void table(Map<String, List<Day>> all) {
-        out().printf(Locale.ROOT, "%-24s %5s %6s %6s %6s %6s %9s %8s %8s %9s %10s %7s%n", "", "days",
-                "goal",
-                "whole", "10 s", "tenant", "p99 s", "tries", "messages", "us/RPC", "events/s", "broken");
+        out().printf(Locale.ROOT, "%-24s %5s %6s %6s %6s %6s %9s %8s %8s %9s %10s %6s %6s %7s%n", "",
+                "days", "goal", "whole", "10 s", "tenant", "p99 s", "tries", "messages", "us/RPC", "events/s",
+                "cold x", "used", "broken");
         all.forEach((label, days) -> out().printf(Locale.ROOT,
-                "%-24s %5d %6.3f %6.3f %6.3f %6.3f %9.3f %8.2f %8.2f %9.1f %10.0f %7d%n", label,
+                "%-24s %5d %6.3f %6.3f %6.3f %6.3f %9.3f %8.2f %8.2f %9.1f %10.0f %6.2f %6.2f %7d%n", label,
                 days.size(),
                 mean(days, "goal"), mean(days, "worth_served"), mean(days, "worst_10_s"),
                 mean(days, "worst_tenant"),
@@ -210,7 +210,8 @@
                 (sum(days, "datagrams") + sum(days, "probes")) / sum(days, "requests"),
                 days.stream().mapToDouble(Day::decisionMicros).average().orElse(0),
                 days.stream().mapToDouble(d -> d.events() / d.seconds()).average().orElse(0),
-                days.stream().mapToInt(Day::brokenInAll).sum()));
+                days.stream().mapToDouble(d -> d.json().getDouble("cold_multiple")).max().orElse(0),
+                mean(days, "cold_used"), days.stream().mapToInt(Day::brokenInAll).sum()));
     }
 
     private static double mean(List<Day> days, String key) {
--- a/src/main/java/saffronferry/lab/world/Node.java
+++ b/src/main/java/saffronferry/lab/world/Node.java
@@ -43,8 +43,10 @@
         final List<Attempt> attempts = new ArrayList<>();
         boolean answered;
         int out;
+        long nowhereSince;
 
-        Rpc(Call call, long id, long validUntil) {
+        Rpc(Call call, long id, long validUntil, long now) {
+            nowhereSince = now;
             this.call = call;
             this.id = id;
             this.validUntil = validUntil;
@@ -122,7 +124,7 @@
             return false;
         }
         long id = ++lastId;
-        Rpc rpc = new Rpc(call, id, call.deadline - world.scenario.network().client());
+        Rpc rpc = new Rpc(call, id, call.deadline - world.scenario.network().client(), sim.now());
         open.put(id, rpc);
         RuleChecker.Id name = name(id);
         checker.taken(sim.now(), name, call.rpcClass, rpc.validUntil);
@@ -184,6 +186,7 @@
         Attempt a = rpc.attempts.get(attempt);
         a.over = true;
         rpc.out--;
+        rpc.nowhereSince = rpc.out == 0 ? sim.now() : rpc.nowhereSince;
         checker.ended(sim.now(), name(id), attempt, outcome);
         if (outcome == Outcome.OK && !rpc.answered) {
             answer(rpc, "served", false, 0);
@@ -204,6 +207,12 @@
         }
     }
 
+    /** Whether it has a request that has been at no worker for longer than that. */
+    boolean waits(long longer) {
+        return up && open.values().stream()
+                .anyMatch(r -> !r.answered && r.out == 0 && sim.now() - r.nowhereSince > longer);
+    }
+
     void peerSaid(int peer, byte[] bytes) {
         if (up) {
             decide(b -> b.report(sim.now(), new News.PeerSaid(peer, bytes)));
@@ -310,6 +319,9 @@
     private void answer(Rpc rpc, String how, boolean refused, long retryAfter) {
         checker.answered(sim.now(), name(rpc.id), how, refused);
         if (!rpc.answered) {
+            if (!how.equals("served")) {
+                world.coldUse.refused(zone);
+            }
             rpc.answered = true;
             world.clients.answered(rpc.call, how.equals("served"), refused, retryAfter);
         }
--- a/src/main/java/saffronferry/lab/world/Worker.java
+++ b/src/main/java/saffronferry/lab/world/Worker.java
@@ -79,6 +79,11 @@
         return up && !hung ? Math.min(kind.slots(), kind.cores()) * speed * coldShare() / slowness : 0;
     }
 
+    /** Work done since it started, in microseconds at speed 1; looking changes nothing. */
+    double done() {
+        return doneSince + rate() * (sim.now() - advancedAt) * running.size();
+    }
+
     /** Work a second of a warm one that nothing slows. */
     double fullCapacity() {
         return Math.min(kind.slots(), kind.cores()) * speed;
--- a/src/main/java/saffronferry/lab/world/World.java
+++ b/src/main/java/saffronferry/lab/world/World.java
@@ -43,6 +43,7 @@
     final Registry registry;
     final Clients clients;
     final Tally tally;
+    final ColdUse coldUse;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final List<Node> nodes = new ArrayList<>();
     private final Map<Node, Long> downSince = new HashMap<>();
@@ -61,6 +62,7 @@
                 new PeerLinks(scenario, START + SETTLE));
         registry = new Registry(scenario.discovery(), sim);
         tally = new Tally(scenario, START + SETTLE);
+        coldUse = new ColdUse(sim, scenario.zones().size());
         makeWorkers();
         capacity = workers.values().stream().mapToDouble(Worker::fullCapacity).sum();
         clients = new Clients(this, capacity);
@@ -80,7 +82,9 @@
         World world = new World(scenario, policy, seed, wrap);
         world.run();
         JSONObject json = world.tally.json(world.sim.done())
-                .put("cold_multiple", Math.round(world.checker.mostCold() * 1e3) / 1e3);
+                .put("cold_multiple", Math.round(world.checker.mostCold() * 1e3) / 1e3)
+                .put("cold_used", Math.round(world.coldUse.mean() * 1e3) / 1e3)
+                .put("cold_used_least", Math.round(world.coldUse.least() * 1e3) / 1e3);
         JSONArray broken = new JSONArray();
         world.checker.broken().forEach(b -> broken.put(new JSONObject().put("rule", b.rule())
                 .put("at_s", b.at() / 1e6).put("dispatcher", b.dispatcher()).put("what", b.what())
@@ -104,10 +108,18 @@
                 end,
                 shape);
         new Troubles(this).plan(start);
+        look(end);
         long longest = scenario.classes().stream().mapToLong(Scenario.RpcClass::deadline).max().orElse(0);
         sim.run(end + longest + SETTLE);
     }
 
+    private void look(long end) {
+        coldUse.look(workers.values(), nodes);
+        if (sim.now() < end) {
+            sim.after(ColdUse.LOOK, () -> look(end));
+        }
+    }
+
     private interface Factor {
         double at(long time);
     }
