A cold worker's part grows while its own jobs start there at once, and ends with one that waits

Change: fleet.Growth. As long as jobs start there within 0.15 s of being sent, the worker has free slots, so all together send less than it can do; the part then doubles each 0.5 s at most, falls back to what is provably its own with the first job that waits or is turned away, and is halved each 4 s without a job. Only where workers tell of starts.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -318,6 +318,7 @@
         w.attempts.add(a);
         w.mine += j.request.slots();
         if (w.ours) { w.cold.spend(cost(j, w)); }
+        if (w.ours && s.tellsStart()) { w.cold.growth.sent(now); }
         if (w.suspect) { awaitTrial(w); }
         refresh(w);
         tellLender(w);
@@ -614,6 +615,7 @@
         now = clock;
         Attempt a = attempt(id, number);
         if (a != null) {
+            if (started && a.startedAt == 0) { a.worker.cold.growth.started(now, a.sentAt); }
             a.startedAt = started ? now : a.startedAt;
             a.lastNote = now;
             sign(a.worker);
@@ -675,6 +677,7 @@
                 w.restUntil = now + spread(FULL_REST << Math.min(w.fulls, FULL_DOUBLINGS));
                 w.fulls = next(w.fulls);
                 w.fullAt = now;
+                w.cold.growth.waited(now);
             }
             case CONNECT_FAILED -> broken(w, false);
             // danger: one broken connection is no broken worker; that one breaks all, and gives no other sign
@@ -774,6 +777,8 @@
     private boolean coldCovers(Worker w, double work) {
         double rate = coldRate.of(now - w.coldSince) * known.whole(kindIndex(w.kind)) / processes;
         double part = w.cold.part(shares, now, w.hash, w.zone == s.zone());
+        // danger: who goes beyond its part while warm workers have room fills slow ones first
+        part = heldSlots > 0 ? Math.min(1, part * w.cold.growth.factor(now)) : part;
         return w.cold.covers(work, now, part, rate, shares.phase(w.hash));
     }
 
--- a/src/main/java/saffronferry/fleet/ColdBudget.java
+++ b/src/main/java/saffronferry/fleet/ColdBudget.java
@@ -23,10 +23,13 @@
     private double kept; // the most that is kept of what nobody asks for
     private long lookedAt = Long.MIN_VALUE;
     private boolean begun;
+    /** What the worker itself shows of the others' parts. */
+    public final Growth growth = new Growth();
 
     /** The worker has started anew. */
     public void reset() {
         begun = false;
+        growth.reset();
     }
 
     /** Our part of the whole now, at a worker that we guard ({@link ColdShares#part}). */
--- a/src/main/java/saffronferry/lab/check/RuleChecker.java
+++ b/src/main/java/saffronferry/lab/check/RuleChecker.java
@@ -267,7 +267,9 @@
         if (known >= sum * 2 / 3) {
             breaks("cold", now, dispatcher, String.format(Locale.ROOT,
                     "%s falls over: %.2f s of work in %.1f s "
-                    + "with a capacity of %.2f", worker, sum, scenario.rules().fall() / 1e6, capacity), null);
+                    + "with a capacity of %.2f; %d jobs, the largest of %.2f s", worker, sum,
+                    scenario.rules().fall() / 1e6, capacity, window.size(),
+                    window.stream().mapToDouble(Arrival::work).max().orElse(0)), null);
         }
         window.clear();
         return true;
--- /dev/null
+++ b/src/test/java/saffronferry/fleet/GrowthTest.java
@@ -0,0 +1,118 @@
+package saffronferry.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Parts that grow by what a cold worker itself shows: dead ones' parts are found, living ones' are left. */
+class GrowthTest {
+    private static final int STEP = 5_000;
+    private static final double JOB = 600_000;
+    private static final int SLOTS = 5;
+    private static final double SPEED = 0.33;
+    private static final double RATE = 1.5 * SLOTS * SPEED;
+
+    /** The most sent in 3 s over what the worker can do; when nine tenths of that first reached it in 2 s. */
+    private record Seen(double multiple, double at) { }
+
+    /** Of n dispatchers the first so many live, hear nobody and always have jobs; {@code blind} ones see no wait. */
+    private static Seen play(int n, int living, boolean blind) {
+        ColdShares[] shares = new ColdShares[living];
+        ColdBudget[] budgets = new ColdBudget[living];
+        int[] mine = new int[living];
+        for (int i = 0; i < living; i++) {
+            shares[i] = new ColdShares(i, n);
+            budgets[i] = new ColdBudget();
+        }
+        List<double[]> running = new ArrayList<>(); // owner, work left
+        List<long[]> queue = new ArrayList<>(); // owner, sent at
+        double[] sent = new double[8_600_000 / STEP];
+        double most = 0;
+        double reached = Double.MAX_VALUE;
+        for (int t = 0; t < sent.length; t++) {
+            long now = 1_000_000_000L + (long) t * STEP;
+            running.forEach(r -> r[1] -= STEP * SPEED);
+            for (double[] over : running.stream().filter(r -> r[1] <= 0).toList()) {
+                running.remove(over);
+                mine[(int) over[0]]--;
+            }
+            while (running.size() < SLOTS && !queue.isEmpty()) {
+                long[] next = queue.remove(0);
+                running.add(new double[] {next[0], JOB});
+                if (!blind) {
+                    budgets[(int) next[0]].growth.started(now, next[1]);
+                }
+            }
+            for (int i = 0; i < living; i++) {
+                double part = Math.min(1, 1.0 / n * budgets[i].growth.factor(now));
+                while (mine[i] < SLOTS && budgets[i].covers(JOB, now, part, RATE, shares[i].phase(7))) {
+                    budgets[i].spend(JOB);
+                    sent[t] += JOB;
+                    boolean full = queue.size() >= 10;
+                    if (blind) {
+                        budgets[i].growth.started(now, now);
+                    } else if (full) {
+                        budgets[i].growth.waited(now);
+                    } else {
+                        budgets[i].growth.sent(now);
+                    }
+                    if (!full) {
+                        mine[i]++;
+                        queue.add(new long[] {i, now});
+                    }
+                }
+            }
+            double sum = 0;
+            double lately = 0;
+            for (int k = Math.max(0, t - 3_000_000 / STEP + 1); k <= t; k++) {
+                sum += sent[k];
+                lately += k > t - 2_000_000 / STEP ? sent[k] : 0;
+            }
+            most = Math.max(most, sum / (3e6 * SLOTS * SPEED));
+            boolean enough = lately >= 0.9 * 2e6 * SLOTS * SPEED;
+            reached = enough ? Math.min(reached, t * STEP / 1e6) : reached;
+        }
+        return new Seen(most, reached);
+    }
+
+    @Test
+    void theDeadOnesPartIsFoundAndTheLivingOnesIsLeft() {
+        record Case(int n, int living, double atMost, double within) { }
+
+        for (Case c : new Case[] {new Case(2, 2, 2.3, 3), new Case(8, 8, 2.3, 3), new Case(16, 16, 2.3, 3),
+            new Case(48, 48, 2.3, 3), new Case(16, 5, 2.3, 4), new Case(16, 2, 2.3, 7), new Case(8, 1, 2.3, 5)}) {
+            Seen seen = play(c.n, c.living, false);
+            assertTrue(seen.multiple <= c.atMost && seen.at <= c.within, c + ": " + seen);
+        }
+        Seen blind = play(8, 8, true);
+        assertTrue(blind.multiple > 3, "who grows without looking pushes it over: " + blind);
+    }
+
+    @Test
+    void oneJobThatWaitsEndsItAndSilenceLetsItShrink() {
+        Growth g = new Growth();
+        long now = 10_000_000;
+        for (int i = 0; i < 4; i++) {
+            g.sent(now);
+            g.started(now + 20_000, now);
+            now += Growth.PACE;
+            g.factor(now);
+        }
+        assertEquals(16, g.factor(now));
+        now += Growth.FADE;
+        assertEquals(8, g.factor(now), "nothing was sent, nothing is known");
+        g.sent(now);
+        assertEquals(8, g.factor(now + Growth.AT_ONCE));
+        assertEquals(1, g.factor(now + Growth.AT_ONCE + 1), "no word of its start");
+        now += Growth.AT_ONCE + 1;
+        g.sent(now);
+        g.started(now + 1, now);
+        assertEquals(1, g.factor(now + Growth.PACE), "not so soon after a wait");
+        assertEquals(2, g.factor(now + 2 * Growth.PACE));
+        g.reset();
+        assertEquals(1, g.factor(now + 2 * Growth.PACE + 1), "another process of the worker");
+    }
+}
