Call discovery before an old list counts as told anew, and soon after a watch falls silent

A list from before a start may be held for rules.askWithin, 10 s; CallPace.first let a fleet of 103 wait up to 95 x 0.15 s = 14 s, so the drains of 19 to 24 s counted as told at 38.2 s, unasked. CallPace.again took a watch that had told its list and then ended for a failed call (up to 40 s instead of 10), and one fallen silent too: what that missed counts as told 6 s after its last word.

Failed calls wait as before.

CallPaceTest plays 103 callers, and the lines of up to 100 at once as before (all served within the same bounds).

--- a/src/main/java/saffronferry/Balancer.java
+++ b/src/main/java/saffronferry/Balancer.java
@@ -42,7 +42,7 @@
         } else if (news instanceof News.Room r) {
             module.room(now, r.open());
         } else {
-            module.workersUnavailable(now);
+            module.workersUnavailable(now, ((News.WatchLost) news).silent());
         }
         return steps.take();
     }
--- a/src/main/java/saffronferry/Contract.java
+++ b/src/main/java/saffronferry/Contract.java
@@ -89,8 +89,11 @@
         /** The worker list, or changes to it. A worker missing from a whole list is gone. */
         void workers(long now, ListKind kind, List<WorkerInfo> entries);
 
-        /** Asking for the list failed or the subscription broke; the old list stays in force. */
-        void workersUnavailable(long now);
+        /**
+         * Asking for the list failed or the subscription broke; the old list stays in force. {@code silent}:
+         * nobody has ended it, but nothing came any more.
+         */
+        void workersUnavailable(long now, boolean silent);
 
         /** What another process of the same dispatcher should know while it runs beside this one. */
         Beside beside();
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -920,9 +920,9 @@
         drain();
     }
 
-    @Override public void workersUnavailable(long clock) {
+    @Override public void workersUnavailable(long clock, boolean silent) {
         now = clock;
-        call(calls.again(random));
+        call(calls.again(random, silent));
     }
 
     private void call(long after) {
--- a/src/main/java/saffronferry/News.java
+++ b/src/main/java/saffronferry/News.java
@@ -33,6 +33,6 @@
     /** What another process of the same dispatcher tells; {@link Beside#NOBODY} once it is gone. */
     record RunsBeside(Beside other) implements News { }
 
-    /** The watch failed or ended. */
-    record WatchLost() implements News { }
+    /** The watch failed or ended; {@code silent}: nothing came any more, though nobody has closed it. */
+    record WatchLost(boolean silent) implements News { }
 }
--- a/src/main/java/saffronferry/adapter/Wire.java
+++ b/src/main/java/saffronferry/adapter/Wire.java
@@ -278,7 +278,7 @@
             throw in.malformed("field kind is unknown");
         }
         if (kind == 3) {
-            to.module.workersUnavailable(now);
+            to.module.workersUnavailable(now, false);
             return;
         }
         if (number < 0 || tables[number] == null) {
--- a/src/main/java/saffronferry/fleet/CallPace.java
+++ b/src/main/java/saffronferry/fleet/CallPace.java
@@ -18,11 +18,20 @@
     private static final long EACH_AGAIN = 500_000;
     private static final double GROWTH = 1.5;
     private static final long AGAIN = 300_000; // at least, before asking again; doubles once
+    /** What a silent watch missed counts as told 6 s after its last word; it was silent for 4.5 s of them. */
+    private static final long SILENT = 2_500_000;
     private static final int MOST_FAILURES = 16;
 
+    /** Of the time for which a list may be held unasked: one that starts with an old list must call in it. */
+    private static final double IN_TIME = 0.9;
+    /** Allowed between calls once one has failed, over what is allowed else. */
+    private static final int FAILED_TIMES = 4;
+
     private final int line; // callers beyond those that can wait in turn
     private final long longest;
+    private final long inTime;
     private int failures;
+    private boolean watching;
 
     /**
      * A pace among so many callers.
@@ -32,23 +41,33 @@
     public CallPace(int callers, long longest) {
         line = Math.max(0, callers - SHORT_LINE);
         this.longest = longest;
+        inTime = (long) (IN_TIME * longest / FAILED_TIMES);
     }
 
     /** How long until the first call: a fleet may have started together, or this one alone. */
     public long first(SplittableRandom random) {
-        return line == 0 ? 0 : random.nextLong(line * EACH_FIRST);
+        // danger: a list from before the start counts as told anew once it is that old, asked for or not
+        return line == 0 ? 0 : random.nextLong(Math.min(inTime, line * EACH_FIRST));
     }
 
-    /** How long until the next call, one having failed or a watch having ended: that of all may have. */
-    public long again(SplittableRandom random) {
+    /**
+     * How long until the next call, one having failed or a watch having ended: that of all may have.
+     *
+     * @param silent the watch has told the list, and then nothing, though nobody has ended it
+     */
+    public long again(SplittableRandom random, boolean silent) {
         long least = AGAIN << Math.min(failures, 1);
-        long spread = (long) Math.min(longest - 2 * least, line * EACH_AGAIN * Math.pow(GROWTH, failures));
+        // danger: a watch that ends is no failed call, and does not allow what that allows
+        long most = !watching ? longest : silent ? SILENT : inTime;
+        long spread = (long) Math.min(most - 2 * least, line * EACH_AGAIN * Math.pow(GROWTH, failures));
         failures = Math.min(failures + 1, MOST_FAILURES);
+        watching = false;
         return least / 2 + random.nextLong(least) + (spread > 0 ? random.nextLong(spread) : 0);
     }
 
     /** Discovery has told something. */
     public void served() {
         failures = 0;
+        watching = true;
     }
 }
--- a/src/main/java/saffronferry/lab/world/Node.java
+++ b/src/main/java/saffronferry/lab/world/Node.java
@@ -228,7 +228,7 @@
 
     void watchLost(int itsWatch) {
         if (up && itsWatch == watch) {
-            decide(b -> b.report(sim.now(), new News.WatchLost()));
+            decide(b -> b.report(sim.now(), new News.WatchLost(false)));
         }
     }
 
--- a/src/main/java/saffronferry/wire/DiscoveryWatch.java
+++ b/src/main/java/saffronferry/wire/DiscoveryWatch.java
@@ -23,14 +23,14 @@
     private Address discovery;
     private final ListParser parser;
     private final Consumer<ListUpdate> told;
-    private final Runnable lost;
+    private final Consumer<Boolean> lost;
     private final BoundedLog log;
     private Watch current;
     /** Whether this discovery has told nothing yet, so that the revision held is another's. */
     private boolean strange;
 
     DiscoveryWatch(Vertx vertx, Address discovery, ListParser parser, Consumer<ListUpdate> told,
-            Runnable lost, Descriptors descriptors, BoundedLog log) {
+            Consumer<Boolean> lost, Descriptors descriptors, BoundedLog log) {
         this.vertx = vertx;
         this.discovery = discovery;
         this.parser = parser;
@@ -89,7 +89,7 @@
         /** Guards against a watch that is cut off without a word: a new one must start within the limit. */
         private void heard() {
             vertx.cancelTimer(silence);
-            silence = vertx.setTimer(SILENCE_MS, t -> end(new IllegalStateException("silence")));
+            silence = vertx.setTimer(SILENCE_MS, t -> ended(new IllegalStateException("silence"), true));
         }
 
         void connected(HttpClientRequest r) {
@@ -131,10 +131,14 @@
         }
 
         private void end(Throwable cause) {
+            ended(cause, false);
+        }
+
+        private void ended(Throwable cause, boolean silent) {
             if (!over) {
                 close();
                 log.line("watch lost", String.valueOf(cause.getMessage()));
-                lost.run();
+                lost.accept(silent);
             }
         }
 
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -52,7 +52,7 @@
         subchannels = new SubchannelClient(vertx, o.connectTimeout(),
                 new LoadParser(o.freeSlots()), descriptors, room, log);
         discovery = new DiscoveryWatch(vertx, o.discovery(), o.lists(), u -> ledger.resolved(u, false),
-                () -> ledger.report(new News.WatchLost()), descriptors, log);
+                silent -> ledger.report(new News.WatchLost(silent)), descriptors, log);
         peers = new PeerSocket(vertx, o.peers(),
                 (peer, bytes) -> ledger.report(new News.PeerSaid(peer, bytes)), log);
         server = new ChannelServer(vertx, new RpcParser(o.classes(), o.tenants()), ledger,
--- a/src/test/java/saffronferry/DispatcherTest.java
+++ b/src/test/java/saffronferry/DispatcherTest.java
@@ -567,7 +567,7 @@
         plan.onDemand = true;
         Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
         assertEquals(1, rig.subscriptions);
-        rig.module.workersUnavailable(rig.now);
+        rig.module.workersUnavailable(rig.now, false);
         rig.run(Rig.S);
         assertEquals(2, rig.subscriptions);
     }
@@ -579,7 +579,7 @@
         Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
         for (int i = 1; i <= 8; i++) {
             assertEquals(i, rig.subscriptions);
-            rig.module.workersUnavailable(rig.now);
+            rig.module.workersUnavailable(rig.now, false);
             rig.run(Rig.S);
         }
     }
--- a/src/test/java/saffronferry/EdgesTest.java
+++ b/src/test/java/saffronferry/EdgesTest.java
@@ -91,7 +91,7 @@
         Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
         for (int i = 0; i < 70; i++) {
             int before = rig.subscriptions;
-            rig.module.workersUnavailable(rig.now);
+            rig.module.workersUnavailable(rig.now, false);
             rig.run(Rig.S);
             assertEquals(before + 1, rig.subscriptions);
         }
--- a/src/test/java/saffronferry/fleet/CallPaceTest.java
+++ b/src/test/java/saffronferry/fleet/CallPaceTest.java
@@ -39,7 +39,7 @@
             calls[call.caller]++;
             freeAt = Math.max(freeAt, call.at) + Math.round(1e6 / perSecond);
             if (freeAt - call.at > PATIENCE) {
-                due.add(new Due(call.at + PATIENCE + paces[call.caller].again(random), call.caller));
+                due.add(new Due(call.at + PATIENCE + paces[call.caller].again(random, false), call.caller));
             } else {
                 paces[call.caller].served();
                 last = Math.max(last, freeAt);
@@ -68,6 +68,27 @@
         assertEquals(Long.MAX_VALUE, play(40, 5, 600_000, true, 1)[0]);
     }
 
+    /**
+     * Seen on a day with 103 callers, of which 22 started anew: 14 s until the first call, and sends to workers that
+     * were gone for longer than a list may be held unasked. A watch that ends allows no more than a start.
+     */
+    @Test
+    void whoHoldsAnOldListCallsBeforeItCountsAsToldAnew() {
+        for (long seed = 1; seed <= 200; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            CallPace pace = new CallPace(103, LONGEST);
+            assertTrue(pace.first(random) < LONGEST / 4, "after a start");
+            pace.served();
+            assertTrue(pace.again(random, false) < LONGEST / 4, "after a watch that had told the list");
+            pace.again(random, false);
+            pace.served();
+            assertTrue(pace.again(random, false) < LONGEST / 4, "after a failed call and another watch");
+            pace.served();
+            assertTrue(pace.again(random, true) <= 2_500_000, "one that fell silent counts as told soon");
+            assertTrue(pace.again(random, true) >= 150_000, "no watch was under way: the line is too long");
+        }
+    }
+
     /** Guards against a count of failures that grows into nonsense; and a few callers ask again soon, however often. */
     @ParameterizedTest
     @CsvSource({"1000, 40000000", "4, 900000"})
@@ -76,7 +97,7 @@
         CallPace pace = new CallPace(callers, LONGEST);
         assertEquals(callers > 8, pace.first(random) > 0);
         for (int i = 0; i < 10_000; i++) {
-            long wait = pace.again(random);
+            long wait = pace.again(random, false);
             assertTrue(wait >= 150_000 && wait <= most, wait + " us after " + i);
         }
     }
--- a/src/test/java/saffronferry/lab/check/Stage.java
+++ b/src/test/java/saffronferry/lab/check/Stage.java
@@ -324,7 +324,7 @@
         @Override
         public void watch(long from) {
             if (dice.nextInt(4) == 0) {
-                at(now + 300_000, () -> ledger.report(new News.WatchLost()));
+                at(now + 300_000, () -> ledger.report(new News.WatchLost(false)));
             }
         }
 
