Growth on evidence may go a third beyond the whole, and counts for parts that are lent

Seen: where all hear, guardians with the whole of a cold worker's budget owed in 1,177 of 3,500 looks with free slots there (laboratory, load 0.6): B is 1.5 times what the worker can do, filled by chance, and jobs that started at once showed room.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -176,7 +176,7 @@
 
     private boolean usable(Job j, Worker w) {
         return fits(j, w) && free(w) >= j.request.slots() && maySend(j, w)
-                && (w.coldSince == 0 || coldCovers(w, cost(j, w)));
+                && (w.coldSince == 0 || coldCovers(w, cost(j, w), heldSlots > 0));
     }
 
     private boolean fits(Job j, Worker w) {
@@ -457,7 +457,7 @@
     private Message lend(Peer y, Message m) {
         double part = Peer.whole(known.longest());
         for (Worker w : y.mayLend(m, now, s.zone()) ? fleet.ours : new Worker[0]) {
-            if (w.coldSince != 0 && w.openAt >= 0 && coldCovers(w, part)) { y.lend(w, part, m, now); }
+            if (w.coldSince != 0 && w.openAt >= 0 && coldCovers(w, part, true)) { y.lend(w, part, m, now); }
         }
         return m;
     }
@@ -774,11 +774,11 @@
     }
 
     /** Whether our part of a cold worker's budget, which grows with its capacity, is enough for that work. */
-    private boolean coldCovers(Worker w, double work) {
+    private boolean coldCovers(Worker w, double work, boolean waits) {
         double rate = coldRate.of(now - w.coldSince) * known.whole(kindIndex(w.kind)) / processes;
         double part = w.cold.part(shares, now, w.hash, w.zone == s.zone());
         // danger: who goes beyond its part while warm workers have room fills slow ones first
-        part = heldSlots > 0 ? Math.min(1, part * w.cold.growth.factor(now)) : part;
+        part = waits ? w.cold.growth.of(part, now) : part;
         return w.cold.covers(work, now, part, rate, shares.phase(w.hash));
     }
 
@@ -964,7 +964,7 @@
             learnHomes();
             learnShares();
         }
-        for (Worker w : fleet.ours) { if (w.coldSince != 0) { coldCovers(w, 0); } }
+        for (Worker w : fleet.ours) { if (w.coldSince != 0) { coldCovers(w, 0, heldSlots > 0); } }
         checkHealth();
         endLeaving();
         drain();
--- a/src/main/java/saffronferry/fleet/Growth.java
+++ b/src/main/java/saffronferry/fleet/Growth.java
@@ -17,6 +17,8 @@
     /** After a job that had to wait nothing grows for so long. */
     private static final long REST = 2 * PACE;
     private static final double MOST = 1 << 10;
+    /** Of what all together may send: two thirds of what the rule allows, where that is half of it. */
+    private static final double BEYOND = 4.0 / 3;
 
     private double factor = 1;
     private long since; // of the last step
@@ -54,7 +56,12 @@
         startedOne = false;
     }
 
-    /** So many times its part one may spend now. */
+    /** What one may spend now whose part that is, of what all together may. */
+    public double of(double part, long now) {
+        return Math.min(BEYOND, part * factor(now));
+    }
+
+    /** So many times its part. */
     public double factor(long now) {
         if (oldest != 0 && now - oldest > AT_ONCE) {
             waited(now);
