--- a/src/main/java/saffronferry/lab/scenario/Scenario.java
+++ b/src/main/java/saffronferry/lab/scenario/Scenario.java
@@ -1,5 +1,6 @@
 package saffronferry.lab.scenario;
 
+import java.util.ArrayList;
 import java.util.List;
 import saffronferry.Contract.Effect;
 import saffronferry.Contract.Group;
@@ -12,7 +13,7 @@
                        List<Kind> kinds, List<RpcClass> classes, List<Tenant> tenants, Load load,
                        Clients clients,
                        Network network, Discovery discovery, Reports reports, Rules rules, Prices prices,
-                       List<Trouble> troubles, Bounds bounds) {
+                       List<Trouble> troubles, Draw draw, Bounds bounds) {
 
     /** A kind of worker: {@code speed} 1 does a second of work in a second on one core. */
     public record Kind(String name, double share, int cores, double speed, double speedCv, int slots,
@@ -88,7 +89,15 @@
     /** The same with other figures of the rules. */
     public Scenario with(Rules other) {
         return new Scenario(name, length, zones, workers, cellSize, dispatchers, kinds, classes, tenants,
-                load, clients, network, discovery, reports, other, prices, troubles, bounds);
+                load, clients, network, discovery, reports, other, prices, troubles, draw, bounds);
+    }
+
+    /** As it is played with a seed: with the troubles that are drawn from it. */
+    public Scenario drawn(long seed) {
+        List<Trouble> all = new ArrayList<>(troubles);
+        all.addAll(draw.of(seed, length, zones, tenants.stream().map(Tenant::name).toList()));
+        return new Scenario(name, length, zones, workers, cellSize, dispatchers, kinds, classes, tenants,
+                load, clients, network, discovery, reports, rules, prices, List.copyOf(all), draw, bounds);
     }
 
     /** The mean work of a request in microseconds at speed 1. */
--- a/src/main/java/saffronferry/lab/scenario/ScenarioReader.java
+++ b/src/main/java/saffronferry/lab/scenario/ScenarioReader.java
@@ -35,7 +35,8 @@
     /** Kinds of trouble; docs/operations/laboratory.md says what part and size mean for each. */
     public static final List<String> TROUBLES = List.of("slow", "hung", "crash", "zone_loss", "deploy",
             "replace", "dispatcher_restart", "dispatcher_stop", "dispatcher_term", "dispatcher_hup",
-            "tenant_burst", "stale_reports", "discovery_outage", "list_withheld", "peer_cut");
+            "tenant_burst", "stale_reports", "discovery_outage", "list_withheld", "list_disorder",
+            "peer_cut");
     /** Between whom datagrams are troubled. */
     public static final List<String> SHAPES = List.of("all", "half", "alone", "mute", "deaf");
 
@@ -150,7 +151,8 @@
                 network(top.section("network")), discovery(top.section("discovery")),
                 reports(top.section("reports")),
                 rules(top.section("rules")), prices(top.section("prices")),
-                troubles(top, zones, tenants, length), bounds(top.section("bounds")));
+                troubles(top, zones, tenants, length), draw(top.section("draw"), length),
+                bounds(top.section("bounds")));
         top.done();
         return result;
     }
@@ -286,6 +288,23 @@
         return b;
     }
 
+    private Draw draw(Section s, long length) {
+        Draw d = new Draw(s.whole("troubles", 0, 0, 100, "troubles drawn from each play's seed"),
+                s.texts("kinds", List.of("peer_cut")),
+                micros(s.number("from_s", 0, 0, 36_000, "seconds")),
+                micros(s.number("until_s", length / 1e6, 0, 36_000, "seconds")));
+        for (String kind : d.kinds()) {
+            if (!TROUBLES.contains(kind)) {
+                s.wrong("kinds", "names no kind of trouble: \"" + kind + "\"" + Section.near(kind, TROUBLES));
+            }
+        }
+        if (d.from() >= d.until()) {
+            s.wrong("until_s", "is not after from_s");
+        }
+        s.done();
+        return d;
+    }
+
     private List<Trouble> troubles(Section top, List<String> zones, List<Tenant> tenants, long length) {
         List<Trouble> result = new ArrayList<>();
         for (Section s : top.sections("trouble")) {
--- a/src/main/java/saffronferry/lab/world/Registry.java
+++ b/src/main/java/saffronferry/lab/world/Registry.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
 import saffronferry.Contract.ListKind;
 import saffronferry.Contract.WorkerInfo;
 import saffronferry.lab.scenario.Scenario.Discovery;
@@ -22,6 +23,11 @@
     private long counted;
     private int withheldFrom;
     private long withheldUntil;
+    private final Map<String, Long> notBefore = new HashMap<>();
+    private int disorderFrom;
+    private long disorder;
+    private long disorderUntil;
+    private UniformRandomProvider random;
 
     Registry(Discovery settings, Simulation sim) {
         this.settings = settings;
@@ -51,9 +57,11 @@
     }
 
     private void tell(List<WorkerInfo> entries) {
-        watches.forEach((node, watch) -> sim.at(Math.max(sim.now() + settings.call() / 2,
-                node.number < withheldFrom ? withheldUntil : 0), () ->
-                node.listTells(watch, entries, ListKind.CHANGES)));
+        watches.forEach((node, watch) -> {
+            long due = sim.now() + settings.call() / 2 + late(node, entries);
+            sim.at(Math.max(due, node.number < withheldFrom ? withheldUntil : 0), () ->
+                    node.listTells(watch, entries, ListKind.CHANGES));
+        });
     }
 
     /** A dispatcher asks for the whole list and then for changes; calls are served one after the other. */
@@ -92,6 +100,26 @@
         }
     }
 
+    /** A worker's own changes keep their order: the next one comes after the one before. */
+    private long late(Node node, List<WorkerInfo> entries) {
+        if (random == null || node.number >= disorderFrom) {
+            return 0;
+        }
+        String key = node.number + " " + entries.get(0).address();
+        long late = sim.now() < disorderUntil ? random.nextInt((int) disorder) : 0;
+        long due = Math.max(sim.now() + late, notBefore.getOrDefault(key, 0L) + 1);
+        notBefore.put(key, due);
+        return due - sim.now();
+    }
+
+    /** Tells the first so many dispatchers each change up to that much later, so that they overtake. */
+    void disorder(int first, long most, long until, UniformRandomProvider chance) {
+        disorderFrom = first;
+        disorder = Math.max(1, most);
+        disorderUntil = until;
+        random = chance;
+    }
+
     /** Tells the first so many dispatchers of changes only from that time on. */
     void withhold(int first, long until) {
         withheldFrom = first;
--- a/src/main/java/saffronferry/lab/world/Troubles.java
+++ b/src/main/java/saffronferry/lab/world/Troubles.java
@@ -80,6 +80,8 @@
             case "replace" -> part(t.part(), random).forEach(w -> replace(t, w));
             case "list_withheld" -> world.registry.withhold(firstOf(t), sim.now() + t.length());
             case "dispatcher_term" -> restartNodes(t, random);
+            case "list_disorder" -> world.registry.disorder(firstOf(t), Math.round(t.size() * 1e6),
+                    sim.now() + t.length(), random);
             default -> throw new IllegalStateException("no trouble " + t.kind());
         }
     }
--- a/src/main/java/saffronferry/lab/world/World.java
+++ b/src/main/java/saffronferry/lab/world/World.java
@@ -79,7 +79,7 @@
     /** Plays a day with each brain wrapped, so that tests can sabotage it. */
     public static Day play(Scenario scenario, Policy policy, long seed, UnaryOperator<Brain> wrap) {
         long begun = System.nanoTime();
-        World world = new World(scenario, policy, seed, wrap);
+        World world = new World(scenario.drawn(seed), policy, seed, wrap);
         world.run();
         JSONObject json = world.tally.json(world.sim.done())
                 .put("cold_multiple", Math.round(world.checker.mostCold() * 1e3) / 1e3)
--- a/src/main/java/saffronferry/rig/Faults.java
+++ b/src/main/java/saffronferry/rig/Faults.java
@@ -88,6 +88,10 @@
                 rig.discoveries.get(d.number).withhold(true);
                 after(t.length(), () -> rig.discoveries.get(d.number).withhold(false));
             });
+            case "list_disorder" -> dispatchers(t).forEach(d -> {
+                rig.discoveries.get(d.number).disorder(size, random.split());
+                after(t.length(), () -> rig.discoveries.get(d.number).disorder(0, random.split()));
+            });
             case "dispatcher_restart" -> spread(t, d -> {
                 end(d);
                 after(size, () -> start(d));
--- a/src/main/java/saffronferry/rig/Rig.java
+++ b/src/main/java/saffronferry/rig/Rig.java
@@ -155,11 +155,13 @@
      */
     public static JSONObject play(Scenario scenario, long seed, Path keepLogs)
             throws IOException, InterruptedException {
-        Rig rig = new Rig(scenario, seed);
+        Rig rig = new Rig(scenario.drawn(seed), seed);
         Thread hook = new Thread(rig::closeQuietly);
         Runtime.getRuntime().addShutdownHook(hook);
         try {
-            return rig.run().put("scenario", scenario.name()).put("seed", seed);
+            return rig.run().put("scenario", scenario.name()).put("seed", seed).put("drawn",
+                    new JSONArray(rig.scenario.troubles().subList(scenario.troubles().size(),
+                            rig.scenario.troubles().size()).stream().map(Object::toString).toList()));
         } finally {
             rig.close(keepLogs);
             Runtime.getRuntime().removeShutdownHook(hook);
--- a/src/main/java/saffronferry/rig/StandInDiscovery.java
+++ b/src/main/java/saffronferry/rig/StandInDiscovery.java
@@ -6,9 +6,11 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import org.json.JSONArray;
 import org.json.JSONObject;
 
@@ -31,6 +33,9 @@
     private long revision = 1;
     private boolean down;
     private boolean withheld;
+    private long disorder; // microseconds by which a change may come later
+    private SplittableRandom random;
+    private final Map<String, Long> notBefore = new HashMap<>(); // a worker's own changes keep their order
 
     StandInDiscovery(Vertx vertx, int dispatcher, Watcher watcher) {
         this.vertx = vertx;
@@ -54,10 +59,28 @@
 
     /** A worker's entry has changed, or is new. */
     void changed(JSONObject entry) {
+        long late = disorder == 0 ? 0 : random.nextLong(disorder) / 1_000;
+        long now = System.nanoTime() / 1_000_000;
+        long due = Math.max(now + late, notBefore.getOrDefault(entry.getString("id"), 0L) + 1);
+        if (due <= now + 1) {
+            listed(entry);
+            return;
+        }
+        notBefore.put(entry.getString("id"), due);
+        vertx.setTimer(due - now, t -> listed(entry));
+    }
+
+    private void listed(JSONObject entry) {
         changes.add(entry);
         flush();
     }
 
+    /** Each change comes up to so many microseconds late from now on: those of different workers overtake. */
+    void disorder(long micros, SplittableRandom chance) {
+        disorder = micros;
+        random = chance;
+    }
+
     /** Says nothing new, and takes no calls, until it is over. */
     void withhold(boolean on) {
         withheld = on;
--- a/src/test/java/saffronferry/lab/LabTest.java
+++ b/src/test/java/saffronferry/lab/LabTest.java
@@ -242,6 +242,28 @@
         }
     }
 
+    /** A seed draws the same troubles whoever plays it, within the times and kinds that the file names. */
+    @Test
+    void troublesAreDrawnFromTheSeed() throws Exception {
+        Scenario s = example("alumni-cuts-drawn");
+        Set<String> drawn = new HashSet<>();
+        Set<String> kinds = new HashSet<>();
+        for (long seed = 1; seed <= 40; seed++) {
+            List<Scenario.Trouble> all = s.drawn(seed).troubles();
+            assertEquals(all, s.drawn(seed).troubles());
+            assertEquals(1 + 4, all.size());
+            all.stream().skip(1).forEach(t -> assertTrue(t.at() < s.length() && t.part() < 0.7, t.toString()));
+            all.stream().skip(1).forEach(t -> kinds.add(t.kind()));
+            drawn.add(all.toString());
+        }
+        assertEquals(40, drawn.size());
+        assertEquals(Set.of("peer_cut", "dispatcher_restart", "list_withheld", "list_disorder"), kinds);
+        ScenarioException e = assertThrows(ScenarioException.class, () -> ScenarioReader.parse("bad.toml",
+                "[draw]\nkinds = [\"peer_cat\"]\nfrom_s = 20\nuntil_s = 10\n"));
+        assertTrue(e.getMessage().contains("bad.toml:2:1: draw.kinds: names no kind of trouble: \"peer_cat\"; did you mean "
+                + "peer_cut?") && e.getMessage().contains("bad.toml:4:1: draw.until_s: is not after from_s"), e.getMessage());
+    }
+
     @Test
     void whatIsNoTomlIsNamedByLineAndColumn() {
         ScenarioException e = assertThrows(ScenarioException.class, () ->
