Repeats of the whole fleet have a stated sum that does not grow with it

Need: beside a fifth of the requests each dispatcher could repeat 5 a second and 25 at once: 500 and 2,500 for a hundred. Change: even parts of 20 a second and 100 at once for all, 0.5 to 5 and 5 to 25 for each, whoever hears whom: up to four dispatchers as before.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -56,7 +56,7 @@
     private final Allowances allowances;
     private final boolean[] blocked; // classes for which a drain has found no slot
     private double p = 1, r = 1, zoneSlots, share = 1, trafficShare, rate, probeCredit;
-    private final RepeatBudget repeats = new RepeatBudget();
+    private final RepeatBudget repeats;
     private final TalkBudget talk;
     private final CallPace calls;
     private final ColdShares shares;
@@ -83,6 +83,7 @@
         shares = new ColdShares(settings.self(), settings.peers());
         coldRate = new ColdRate(settings.fallMultiple(), settings.coldShare(), settings.cold());
         calls = new CallPace(settings.peers(), settings.mostUnasked());
+        repeats = new RepeatBudget(settings.peers());
         talk = new TalkBudget(settings.peerPrice(), Message.MOST_BYTES, MIN_PERIOD, MAX_PERIOD);
         known = new Lessons(settings.kinds(), settings.classes(), FIRST_MEAN);
         blocked = new boolean[queues.length];
