--- a/src/main/java/saffronferry/Balancer.java
+++ b/src/main/java/saffronferry/Balancer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import saffronferry.fleet.Sharing;
 
 /**
  * The decisions in blocking style: each call does its work and returns what is to be done.
@@ -63,6 +64,11 @@
         return module.avoided();
     }
 
+    /** What it shares with other dispatchers now. */
+    public Sharing sharing() {
+        return module.sharing();
+    }
+
     /** Gathers the module's actions. */
     private static final class Steps implements Contract.Actions {
         private List<Step> list = new ArrayList<>();
--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -211,6 +211,9 @@
         final Loan borrowed = new Loan(); // what it lent us
         long lentTo;             // when we lent it, by our clock
         private final Lent out = new Lent();
+        long lentInAll;          // slot time, since our start
+        long backInAll;
+        long borrowedInAll;
         private long lentAt;     // the stamp of what it lent us
         private long holdsDue;   // when to tell it next of all our jobs on its workers; 0: it knows
 
@@ -318,6 +321,7 @@
                 if (lent[i] && counts) {
                     borrowed.taken(m.at);
                     lentAt = m.at;
+                    borrowedInAll += (long) (offered[i] * Message.LENT_UNIT);
                 }
             }
         }
@@ -331,6 +335,7 @@
         void lend(Worker w, double part, Message m, long now) {
             w.cold.spend(part);
             out.lent(w.hash, m.at, part);
+            lentInAll += (long) part;
             m.lend(w.hash, units(part));
             lentTo = now + LENT_APART;
         }
@@ -364,7 +369,9 @@
         void takeBack(Worker[] named, Message m, long now) {
             for (int i = 0; i < named.length; i++) {
                 if (named[i] != null) {
-                    named[i].cold.back(out.back(m.hash[i], m.at, m.amount(i) * Message.LENT_UNIT, now));
+                    double back = out.back(m.hash[i], m.at, m.amount(i) * Message.LENT_UNIT, now);
+                    named[i].cold.back(back);
+                    backInAll += (long) back;
                 }
             }
         }
--- a/src/main/java/saffronferry/Contract.java
+++ b/src/main/java/saffronferry/Contract.java
@@ -1,6 +1,7 @@
 package saffronferry;
 
 import java.util.List;
+import saffronferry.fleet.Sharing;
 
 /**
  * What reaches the module ({@link Events}), what it answers ({@link Actions}) and the types of both.
@@ -104,6 +105,9 @@
         /** How many workers in service are given no jobs for now, but for a trial. */
         int avoided();
 
+        /** What it shares with other dispatchers now. */
+        Sharing sharing();
+
         /** Whether attempts can be sent at all: while there is no descriptor or port for them, none is. */
         void room(long now, boolean open);
 
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -8,6 +8,7 @@
 import saffronferry.fleet.ColdRate;
 import saffronferry.fleet.ColdShares;
 import saffronferry.fleet.Owners;
+import saffronferry.fleet.Sharing;
 import saffronferry.fleet.TalkBudget;
 
 /** Networked queues: push to a free slot of the own zone, else hold with P, else spill to a neighbour. */
@@ -82,8 +83,8 @@
         for (int i = 0; i < peers.length; i++) { peers[i] = new Peer(i); }
         shares = new ColdShares(settings.self(), settings.peers());
         coldRate = new ColdRate(settings.fallMultiple(), settings.coldShare(), settings.cold());
-        calls = new CallPace(settings.peers(), settings.mostUnasked());
         repeats = new RepeatBudget(settings.peers());
+        calls = new CallPace(settings.peers(), settings.mostUnasked());
         talk = new TalkBudget(settings.peerPrice(), Message.MOST_BYTES, MIN_PERIOD, MAX_PERIOD);
         known = new Lessons(settings.kinds(), settings.classes(), FIRST_MEAN);
         blocked = new boolean[queues.length];
@@ -932,6 +933,8 @@
 
     @Override public int avoided() { return fleet.avoided(); }
 
+    @Override public Sharing sharing() { return fleet.sharing(peers, shares, s.zone(), now); }
+
     // ---- another process of this dispatcher, to replace or to be replaced by ----
     @Override public Beside beside() { return new Beside(fleet.jobs(), known.told()); }
 
--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -6,9 +6,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import saffronferry.Book.Peer;
 import saffronferry.Book.Worker;
 import saffronferry.Contract.WorkerState;
 import saffronferry.fleet.ColdShares;
+import saffronferry.fleet.Sharing;
 
 /** The workers, in the groups in which the module looks them up. Data only: it decides who belongs where. */
 final class Fleet {
@@ -46,6 +48,33 @@
                 .filter(w -> w.suspect && w.state == WorkerState.IN_SERVICE).count();
     }
 
+    /** What is shared now of this zone's workers, and with whom. */
+    Sharing sharing(Peer[] peers, ColdShares shares, int zone, long now) {
+        int heard = 0;
+        int counted = 0;
+        long lent = 0;
+        long back = 0;
+        long borrowed = 0;
+        for (Peer y : peers) {
+            boolean self = shares.isSelf(y.number);
+            heard += self || y.heard > 0 ? 1 : 0;
+            counted += self || y.heard > 0 && y.zone == zone && shares.counts(y.number, now) ? 1 : 0;
+            lent += y.lentInAll;
+            back += y.backInAll;
+            borrowed += y.borrowedInAll;
+        }
+        int cold = 0;
+        int guarded = 0;
+        double part = 0;
+        for (Worker w : ring[zone]) {
+            cold += w.coldSince != 0 ? 1 : 0;
+            guarded += w.coldSince != 0 && w.ours ? 1 : 0;
+            part += w.coldSince != 0 && w.ours ? shares.part(now, w.hash, w.zone == zone) : 0;
+        }
+        return new Sharing(peers.length, heard, counted, cold, guarded, guarded == 0 ? 0 : part / guarded,
+                lent, back, borrowed);
+    }
+
     /** Takes workers that started before a time for warm; whether there was one. */
     boolean warmUp(long before) {
         boolean any = false;
--- a/src/main/java/saffronferry/ops/Figures.java
+++ b/src/main/java/saffronferry/ops/Figures.java
@@ -1,6 +1,7 @@
 package saffronferry.ops;
 
 import java.util.List;
+import java.util.Locale;
 
 /**
  * What a dispatcher counts from its start on, each where it happens, and its text form (that of Prometheus,
@@ -20,9 +21,13 @@
     }
 
     /**
-     * What holds at the moment of asking: open jobs, workers on the list, and those of them that are avoided.
+     * What holds at the moment of asking: open jobs, workers on the list, those of them that are avoided, and
+     * further figures.
      */
-    public record Now(int active, int poolSize, int poolEjected) { }
+    public record Now(int active, int poolSize, int poolEjected, List<More> more) { }
+
+    /** A figure with its name, type and help; {@code value} in the unit that the help names. */
+    public record More(String name, String type, String help, double value) { }
 
     private final List<String> classes;
     private final long[][] responses;
@@ -80,6 +85,12 @@
         gauge(out, "app_pool_size", "Workers on the list.", now.poolSize);
         gauge(out, "app_pool_ejected", "Workers on the list that are avoided, by hand or by choice.",
                 now.poolEjected);
+        for (More m : now.more) {
+            head(out, m.name, m.type, m.help);
+            String value = m.value == Math.rint(m.value) ? Long.toString((long) m.value)
+                    : String.format(Locale.ROOT, "%.3f", m.value);
+            out.append(m.name).append(' ').append(value).append('\n');
+        }
         return out.toString();
     }
 
--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -194,7 +194,8 @@
 
     /** What holds now, beside what is counted. */
     public Figures.Now now() {
-        return new Figures.Now(unanswered, resolved.size(), resolved.banned() + balancer.avoided());
+        return new Figures.Now(unanswered, resolved.size(), resolved.banned() + balancer.avoided(),
+                Shared.figures(balancer.sharing()));
     }
 
     @Override
--- a/src/test/java/saffronferry/FleetTest.java
+++ b/src/test/java/saffronferry/FleetTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import saffronferry.fleet.Sharing;
 
 class FleetTest {
     /** Guards against memory that grows with every release of the workers. */
@@ -19,6 +20,49 @@
         assertEquals(10, fleet.byAddress.size());
     }
 
+    /** Beside a fifth of the requests the sum of repeats does not grow with the fleet, but for a least part of each. */
+    @Test
+    void repeatsOfAFleetAreBounded() {
+        for (int n : new int[] {1, 2, 4, 16, 100}) {
+            RepeatBudget[] all = new RepeatBudget[n];
+            int taken = 0;
+            for (int i = 0; i < n; i++) {
+                all[i] = new RepeatBudget(n);
+                all[i].share(i % 2 + 1); // while two processes live each has half
+                all[i].share(1);
+                for (int t = 0; t < 100; t++) {
+                    all[i].pass(0.1);
+                    all[i].asked();
+                    while (all[i].take()) {
+                        taken++;
+                    }
+                }
+            }
+            double most = Math.max(100, 5 * n) + 10 * Math.max(20, n / 2.0) + 0.2 * 100 * n;
+            assertTrue(taken <= most && taken >= Math.min(n, 4) * 50, n + " dispatchers: " + taken + " of " + most);
+        }
+    }
+
+    /** What operators read of a fleet of four, of which one other of the zone is heard, and one elsewhere. */
+    @Test
+    void whatIsSharedIsTold() {
+        Rig.Plan plan = new Rig.Plan();
+        plan.peers = 4;
+        plan.zones = 2;
+        Rig rig = new Rig(plan.settings());
+        rig.list(Rig.worker("old"), Rig.worker("cold", 0, Contract.WorkerState.IN_SERVICE, rig.now - 1));
+        assertEquals(Sharing.Fallback.ALONE, rig.module.sharing().fallback());
+        assertEquals(0.25, rig.module.sharing().part());
+        for (int peer : new int[] {1, 2}) {
+            rig.module.peerMessage(rig.now, peer,
+                    new Message(Message.Type.OFFERS, peer - 1, 1, 1, 1, 50 * Rig.MS).bytes());
+        }
+        Sharing s = rig.module.sharing();
+        assertEquals(Sharing.Fallback.PARTS, s.fallback());
+        assertEquals("4 3 2 1", s.peers() + " " + s.heard() + " " + s.counted() + " " + s.cold());
+        assertTrue(s.guarded() == 0 || s.part() == 1 / 3.0, "one is elsewhere: " + s);
+    }
+
     private static Fleet of(int workers) {
         Fleet fleet = new Fleet(1, 1);
         for (int i = 0; i < workers; i++) {
--- a/src/test/java/saffronferry/ops/OpsTest.java
+++ b/src/test/java/saffronferry/ops/OpsTest.java
@@ -27,17 +27,18 @@
         figures.tried(1);
         figures.answered(7, Result.OK); // of no class: counts nowhere and breaks nothing
         figures.tried(-1);
-        List<String> lines = figures.text(new Figures.Now(14, 9, 2)).lines().filter(l -> !l.startsWith("#")).toList();
+        List<String> lines = figures.text(new Figures.Now(14, 9, 2, List.of(
+                new Figures.More("app_x", "gauge", "x", 0.25), new Figures.More("app_y", "counter", "y", 1e9)))).lines().filter(l -> !l.startsWith("#")).toList();
         assertEquals(List.of("app_responses{kind=\"page\",result=\"ok\"} 2",
                 "app_responses{kind=\"page\",result=\"shed\"} 0", "app_responses{kind=\"page\",result=\"errors\"} 0",
                 "app_responses{kind=\"gift\",result=\"ok\"} 0", "app_responses{kind=\"gift\",result=\"shed\"} 1",
                 "app_responses{kind=\"gift\",result=\"errors\"} 1", "app_tries{kind=\"page\"} 0",
-                "app_tries{kind=\"gift\"} 1", "app_active 14", "app_pool_size 9", "app_pool_ejected 2"), lines);
+                "app_tries{kind=\"gift\"} 1", "app_active 14", "app_pool_size 9", "app_pool_ejected 2", "app_x 0.250", "app_y 1000000000"), lines);
     }
 
     @Test
     void aClassCannotEndItsLabelEarly() {
-        String text = new Figures(List.of("a\"} 9\nb\\")).text(new Figures.Now(0, 0, 0));
+        String text = new Figures(List.of("a\"} 9\nb\\")).text(new Figures.Now(0, 0, 0, List.of()));
         assertTrue(text.contains("app_tries{kind=\"a\\\"} 9\\nb\\\\\"} 0\n"), text);
     }
 
