A first call within 11 s, so that a hundred that start together do not hold each other off

What counts as told after rules.askWithin may be sent to for 2 s more, so 1.1 of it keeps the rule. Change: 1.1 of rules.askWithin.

--- a/src/main/java/saffronferry/fleet/CallPace.java
+++ b/src/main/java/saffronferry/fleet/CallPace.java
@@ -22,8 +22,11 @@
     private static final long SILENT = 2_500_000;
     private static final int MOST_FAILURES = 16;
 
-    /** Of the time for which a list may be held unasked: one that starts with an old list must call in it. */
-    private static final double IN_TIME = 0.9;
+    /**
+     * Of the time for which a list may be held unasked: what then counts as told may be sent to for 2 s more,
+     * a fifth of it. A shorter spread makes calls wait too long where seven or fewer are served in a second.
+     */
+    private static final double IN_TIME = 1.1;
     /** Allowed between calls once one has failed, over what is allowed else. */
     private static final int FAILED_TIMES = 4;
 
