--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -246,10 +246,15 @@
                         && m.at - y.heard <= y.horizon() - ColdShares.LEASE);
             }
             m.word = shares.word(m.hears, m.at);
+        }
+
+        /** Tells one that may have just started who is of other zones; others know. */
+        static Message welcome(ColdShares shares, Message m) {
             BitSet others = shares.elsewhere();
-            // guards what is offered: it must have room beside
-            boolean fits = m.size() + others.length() / 8 < Message.MOST_BYTES / 2;
+            // guards against a message that is too long: it is as full as it may be already
+            boolean fits = m.word != null && m.size() + 1 + (others.length() + 7) / 8 <= Message.MOST_BYTES;
             m.elsewhere = others.isEmpty() || !fits ? null : others;
+            return m;
         }
 
         /** It is told of a job of ours, or of its end; that may be lost. */
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -19,6 +19,7 @@
     private static final long MAX_PERIOD = 1_000_000; // older news says nothing about jobs of about a second
     private static final double PROBE_SPEND = 0.002; // the same for probes
     private static final long OFFER_LIFE = 400_000; // an offered slot stays free about that long
+    private static final int LEAST_FAN = 2; // guardians of cold workers, and others, told at a time
     private static final int OFFER_LOOKS = 16; // peers looked at for an offer, however many there are
     private static final double SPILL_P = 0.9; // a spill needs a neighbour that holds next to nothing
     private static final int SAMPLE = 4; // free workers compared for one job, however many there are
@@ -63,8 +64,9 @@
     private final ColdShares shares;
     private final ColdRate coldRate;
     private int processes = 1; // of this dispatcher: budgets are for both together
-    private int heldSlots, arrivals, homesMark, turn, probeTurn, checkTurn, goneByNow;
-    private long now, lastTick, bornAt, nextExchange, offersUntil, wordUntil, ticks, period = MIN_PERIOD;
+    private int heldSlots, arrivals, homesMark, turn, neighbour, probeTurn, checkTurn, goneByNow;
+    private long now, lastTick, bornAt, nextExchange, lastExchange, offersUntil, wordUntil, ticks;
+    private long period = MIN_PERIOD;
     private final boolean probing;
     private boolean begun, settled, mayOpen = true, coldHere;
 
@@ -116,6 +118,8 @@
         } else {
             hold(j, false);
             drain();
+            // others offer what they have free once we tell that a job waits
+            if (j.queue != null) { nextExchange = Math.min(nextExchange, lastExchange + period / 4); }
         }
     }
 
@@ -413,9 +417,10 @@
 
     /** The next so many peers of our zone, before others those that have cold workers' budgets to lend. */
     private void tellZone(int most, Message m) {
-        int[] first = coldHere ? fleet.guardians(s.zone(), shares, most - 1, ticks) : new int[0];
+        int[] first = fleet.guardians(s.zone(), shares, coldHere ? Math.max(most - 1, LEAST_FAN) : 0, ticks);
         for (int guardian : first) { tell(guardian, m); }
-        for (int i = 0, fan = most - first.length; i < peers.length && fan > 0; i++) {
+        int fan = Math.max(Math.min(LEAST_FAN, most), most - first.length);
+        for (int i = 0; i < peers.length && fan > 0; i++) {
             turn = (turn + 1) % peers.length;
             Peer y = peers[turn];
             if (y.number != s.self() && (y.zone < 0 || y.zone == s.zone())) {
@@ -425,11 +430,11 @@
         }
     }
 
+    /** Danger: a word to each of many zones takes the place of those to our own. They hear us in turn. */
     private void tellNeighbours() {
-        for (int z = 0; z < s.zones(); z++) {
-            Peer y = z == s.zone() ? null : Peer.anyOf(z, peers, random.nextInt(peers.length));
-            if (y != null) { tell(y.number, offers()); }
-        }
+        neighbour = 1 + neighbour % Math.max(1, s.zones() - 1);
+        Peer y = Peer.anyOf((s.zone() + neighbour) % s.zones(), peers, random.nextInt(peers.length));
+        if (y != null && y.zone != s.zone()) { tell(y.number, offers().undated()); }
     }
 
     /** Product of 1-P over neighbours. */
@@ -496,7 +501,10 @@
         // a message that offers nothing while P is below one asks: who has a free slot answers with an offer
         boolean asks = m.type == Message.Type.OFFERS && m.entries == 0 && m.p < 1 && heldSlots == 0;
         // a stranger may just have started: let it know us too
-        if (stranger || asks && fleet.anyOpen()) { tell(peer, asks ? lend(y, offers()) : offers()); }
+        if (stranger || asks && fleet.anyOpen()) {
+            Message answer = asks ? lend(y, offers()) : offers();
+            tell(peer, stranger ? Peer.welcome(shares, answer) : answer);
+        }
         Worker[] named = fleet.find(m.type == Message.Type.OFFERS ? y.zone : s.zone(), m); // whose workers
         if (m.type == Message.Type.OFFERS) {
             giveBack(y, false); // what it lent before makes room for what it offers now
@@ -983,6 +991,7 @@
         p = acceptance();
         if (s.mayTell() && now >= nextExchange) {
             exchange();
+            lastExchange = now;
             nextExchange = now + period - random.nextLong(period / 4); // a later one would miss its tick
         }
         out.timer(TICK_TOKEN, TICK);
--- a/src/main/java/saffronferry/Message.java
+++ b/src/main/java/saffronferry/Message.java
@@ -105,6 +105,12 @@
         count[entries++] = value;
     }
 
+    /** Without stamp and words: of no use to another zone. */
+    Message undated() {
+        word = null;
+        return this;
+    }
+
     int size() {
         return HEADER + dated() + ENTRY * entries;
     }
--- a/src/main/java/saffronferry/rig/DispatcherProcess.java
+++ b/src/main/java/saffronferry/rig/DispatcherProcess.java
@@ -1,5 +1,6 @@
 package saffronferry.rig;
 
+import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,6 +21,8 @@
             "-Dvertx.disableFileCaching=true", "-Dvertx.disableDnsResolver=true",
             "-Djava.net.preferIPv4Stack=true");
 
+    private static final File NOTHING = new File("/dev/null");
+
     final int number;
     final String host;
     final int port;
@@ -68,7 +71,8 @@
         command.addAll(JVM);
         command.addAll(List.of("-Djava.io.tmpdir=" + temporary, "-cp", System.getProperty("java.class.path"),
                 "saffronferry.cli.Main", "serve"));
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+        // guards against a descriptor for each life: a pipe to a process stays open after its end
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectInput(NOTHING)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
         builder.environment().put("BALANCER_CONFIG", folder.resolve("config.json").toString());
         process = builder.start();
@@ -86,7 +90,8 @@
     void signal(String name) throws IOException {
         if (alive()) {
             stopped = name.equals("STOP") || stopped && !name.equals("CONT");
-            new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start();
+            new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).redirectInput(NOTHING)
+                    .redirectOutput(NOTHING).redirectError(NOTHING).start();
         }
     }
 
