A job under which a worker broke goes to no cold one

Ruled out: the sum, 1 to 11 jobs in each window. Change: Job.broke, looked at where a cold worker is chosen, own or lent; the job waits for a warm one. hopeless() is as it was.

--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -112,6 +112,8 @@
         int inFlight;
         boolean over;
         boolean streaming;
+        /** A worker broke under it: one of much work must not push cold ones over in turn. */
+        boolean broke;
         HeldQueue queue;
         Job next;
         Job previous;
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -182,7 +182,7 @@
 
     private boolean usable(Job j, Worker w) {
         return fits(j, w) && free(w) >= j.request.slots() && maySend(j, w)
-                && (w.coldSince == 0 || coldCovers(w, cost(j, w), heldSlots > 0));
+                && (w.coldSince == 0 || !j.broke && coldCovers(w, cost(j, w), heldSlots > 0));
     }
 
     private boolean fits(Job j, Worker w) {
@@ -308,7 +308,7 @@
         for (int i = 0; i < y.offers.length && now - y.offeredAt < OFFER_LIFE; i++) {
             Worker w = y.offers[i];
             if (w != null && y.enough(i, j.request.slots(), cost(j, w)) && fits(j, w)
-                    && (w.coldSince == 0 || y.lent[i])
+                    && (w.coldSince == 0 || y.lent[i] && !j.broke)
                     && !(w.suspect && now < w.trialAt) && maySend(j, w)) {
                 return i;
             }
@@ -323,8 +323,7 @@
         j.add(a);
         w.attempts.add(a);
         w.mine += j.request.slots();
-        if (w.ours) { w.cold.spend(cost(j, w)); }
-        if (w.ours && s.tellsStart()) { w.cold.growth.sent(now); }
+        if (w.ours) { w.cold.send(cost(j, w), s.tellsStart() ? now : 0); }
         if (w.suspect) { awaitTrial(w); }
         refresh(w);
         tellLender(w);
@@ -652,6 +651,7 @@
         a.ended = true;
         a.neverRan = outcome.neverRan;
         a.failed = outcome == Outcome.ERROR;
+        j.broke |= outcome == Outcome.RESET;
         j.inFlight--;
         w.attempts.remove(a);
         w.mine -= j.request.slots();
--- a/src/main/java/saffronferry/fleet/ColdBudget.java
+++ b/src/main/java/saffronferry/fleet/ColdBudget.java
@@ -90,6 +90,12 @@
         left = Math.min(left + work, Math.max(left, kept));
     }
 
+    /** A job of ours is sent at that time; 0 where nobody will tell of its start. */
+    public void send(double work, long now) {
+        spend(work);
+        growth.sent(now);
+    }
+
     /** Some of it is sent, or lent: whoever it is lent to may spend it, or lose it, and we do not. */
     public void spend(double work) {
         left -= work;
--- a/src/main/java/saffronferry/fleet/Growth.java
+++ b/src/main/java/saffronferry/fleet/Growth.java
@@ -25,7 +25,7 @@
     private long oldest; // when the oldest job was sent of which no start is told; 0: none
     private boolean startedOne;
 
-    /** A job is sent there. */
+    /** A job is sent there; 0: nobody will tell of its start. */
     public void sent(long now) {
         oldest = oldest == 0 ? now : oldest;
     }
--- a/src/test/java/saffronferry/DispatcherTest.java
+++ b/src/test/java/saffronferry/DispatcherTest.java
@@ -436,6 +436,23 @@
         assertEquals(List.of(Integer.toString(held), Integer.toString(held), "none"), told);
     }
 
+    /** Seen in the laboratory: one job of 14 s of work pushed over four cold workers, one after the other. */
+    @Test
+    void aJobUnderWhichAWorkerBrokeGoesToNoColdOne() {
+        plan.classes = List.of(new JobClass("c", 9 * Rig.S, 2, 30 * Rig.S, 1, 0.2, Effect.SAFE, Group.ALL, 0, -1));
+        Rig rig = new Rig(plan.settings()).list(Rig.worker("a"));
+        rig.ask(1, 0, -1, 30 * Rig.S, false);
+        rig.change(Rig.worker("a", 0, WorkerState.DRAINING, 0), Rig.worker("cold", 0, WorkerState.IN_SERVICE, rig.now));
+        rig.answer(1, 0, Outcome.RESET);
+        rig.run(Rig.S);
+        assertEquals(0, rig.sentTo("cold"));
+        rig.ask(2);
+        rig.run(9 * Rig.S);
+        assertEquals("cold", rig.workerOf(2), "other jobs are sent there");
+        rig.run(2 * Rig.S);
+        assertEquals("cold", rig.workerOf(1), "and this one once it is warm");
+    }
+
     private static List<String> borrows(Rig rig) {
         return rig.told.stream().map(b -> Message.read(b, 0)).filter(m -> m.type == Message.Type.BORROWS)
                 .map(m -> m.hash[0] + " " + m.count[0]).toList();
