--- a/src/main/java/saffronferry/fleet/CallPace.java
+++ b/src/main/java/saffronferry/fleet/CallPace.java
@@ -23,8 +23,8 @@
     private static final int MOST_FAILURES = 16;
 
     /**
-     * Of the time for which a list may be held unasked, which counts from the process's start: once it is over
-     * all changes count as told when they were that old, and nothing is left of the time to stop sending.
+     * Of the time for which a list may be held unasked, from the process's start: once that is over all
+     * changes count as told when they were that old, and nothing is left of the time to stop sending.
      */
     private static final double IN_TIME = 0.9;
     /** Allowed between calls once one has failed, over what is allowed else. */
