Build a message of held slots only when it is due

The tick made one for each peer 40 times a second, a hundred peers wide, though one is due each 0.5 s at most. Change: Peer.holdsDue is asked first.

--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -264,21 +264,22 @@
             holdsDue = now + HOLDS_TOLD;
         }
 
+        boolean holdsDue(long now) {
+            return holdsDue != 0 && now >= holdsDue;
+        }
+
         /**
-         * Puts all that our jobs take on its workers into a message, if it is time, for as long as there are
-         * any and once more: whoever has not heard of a job's end would count its slot as taken.
+         * Puts all that our jobs take on its workers into a message, for as long as there are any and once
+         * more: whoever has not heard of a job's end would count its slot as taken.
          */
-        boolean tellsHolds(long now, Iterable<Worker> workers, Message m) {
-            if (holdsDue == 0 || now < holdsDue) {
-                return false;
-            }
+        Message holds(long now, Iterable<Worker> workers, Message m) {
             for (Worker w : workers) {
                 if (w.lender == number && !w.ours && w.mine > 0) {
                     m.add(w.hash, w.mine);
                 }
             }
             holdsDue = m.entries == 0 ? 0 : now + HOLDS_TOLD;
-            return true;
+            return m;
         }
 
         /** All that its jobs take on our workers: what it does not name has ended. */
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -982,8 +982,8 @@
         drain();
         for (Peer y : peers) {
             giveBack(y, heldSlots > 0);
-            Message holds = message(Message.Type.HOLDS);
-            if (y.tellsHolds(now, fleet.byAddress.values(), holds)) { tell(y.number, holds); }
+            if (!y.holdsDue(now)) { continue; }
+            tell(y.number, y.holds(now, fleet.byAddress.values(), message(Message.Type.HOLDS)));
         }
         placeBound();
         retryHeld();
