--- a/src/main/java/saffronferry/lifecycle/ProcessLimits.java
+++ b/src/main/java/saffronferry/lifecycle/ProcessLimits.java
@@ -5,7 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-/** What the system says of this process's descriptors; where it says nothing, cautious guesses. */
+/** What the system says of this process: descriptors and signals; where it says nothing, cautious guesses. */
 final class ProcessLimits {
     /** A JVM of ours holds fewer at its start. */
     private static final int OPEN_GUESS = 24;
@@ -29,6 +29,25 @@
                 .findFirst().orElse(Integer.MAX_VALUE);
     }
 
+    /**
+     * Whether this process was started with SIGHUP ignored. The JVM leaves a signal so that it finds so, and
+     * takes a handler for it without a word that is never called.
+     */
+    static boolean hangupIgnored() {
+        try {
+            return hangupIgnored(Files.readString(Path.of("/proc/self/status")));
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** The first bit of the mask of ignored signals in the text of a {@code status} file as proc(5) has it. */
+    static boolean hangupIgnored(String status) {
+        return status.lines().filter(line -> line.matches("SigIgn:\\s*[0-9a-f]{1,16}"))
+                .map(line -> line.substring(line.length() - 1))
+                .anyMatch(lowest -> (Integer.parseInt(lowest, 16) & 1) != 0);
+    }
+
     /** How many descriptors the process holds now. */
     static int open() {
         String[] names = new File("/proc/self/fd").list();
--- a/src/main/java/saffronferry/lifecycle/Serve.java
+++ b/src/main/java/saffronferry/lifecycle/Serve.java
@@ -22,6 +22,11 @@
             reload(serving.get());
         });
         LogProvider.install();
+        if (ProcessLimits.hangupIgnored()) {
+            // guards operators against a reload that nobody hears: it shows as an old list, and much later
+            log.line("SIGHUP is ignored", "as this process was started: no new configuration will be followed;"
+                    + " start it by `env --default-signal=HUP`, as run in deploy/balancer.toml does");
+        }
         Node node;
         try {
             node = new Node(Config.read(System.getenv()), log, BoundedTransport::new);
--- a/src/test/java/saffronferry/lifecycle/ReloadTest.java
+++ b/src/test/java/saffronferry/lifecycle/ReloadTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import org.junit.Test;
+import org.tomlj.Toml;
 
 /** SIGHUP on the program itself: it serves on, and asks the discovery that the new file names. */
 public class ReloadTest extends SocketsFixture {
@@ -73,6 +74,48 @@
         await(() -> next.requests.size() == 1);
     }
 
+    /**
+     * Under nohup, or a supervisor that ignores SIGHUP, the JVM would never hear one: every dispatcher of a day stayed with
+     * a discovery that was gone. The deployment's command gives the signal back.
+     */
+    @Test
+    public void sighupIsHeardThoughWhoStartsTheProgramIgnoresIt() throws Exception {
+        String run = Toml.parse(Path.of("deploy/balancer.toml")).getString("run");
+        String before = run.substring(0, run.indexOf("java "));
+        assertTrue(before, before.startsWith("exec "));
+        Path file = configFile();
+        Process process = launchIgnoringHangup(before, file);
+        awaitUp();
+        Peer next = keep(new Peer(tell("{\"revision\":1,\"complete\":false,\"members\":[]}")));
+        Files.writeString(file, config.put("discovery", next.address()).toString());
+        hangUp(process);
+        await(() -> next.requests.size() == 1);
+    }
+
+    /** Started without that, it cannot hear, and says so; it serves all the same. */
+    @Test
+    public void whereSighupIsIgnoredItIsSaidAtTheStart() throws Exception {
+        Path said = Files.createTempFile("said", ".txt");
+        keep(() -> Files.delete(said));
+        Process process = launchIgnoringHangup("exec 2> " + said + "; exec ", configFile());
+        awaitUp();
+        hangUp(process);
+        assertTrue(Files.readString(said), Files.readString(said).contains("SIGHUP is ignored"));
+        assertTrue(process.isAlive());
+    }
+
+    private Process launchIgnoringHangup(String prefix, Path file) throws Exception {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        // the shell cannot take back what it was started with: a second one ignores what the first one does
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c", "trap '' HUP; exec sh -c \"$0\"", prefix + java
+                + " -XX:TieredStopAtLevel=1 -XX:+UseSerialGC -Xmx64m -Djava.io.tmpdir=" + folder + " -cp "
+                + System.getProperty("java.class.path") + " saffronferry.cli.Main serve");
+        builder.environment().put("BALANCER_CONFIG", file.toString());
+        Process process = builder.inheritIO().start();
+        keep(process::destroyForcibly);
+        return process;
+    }
+
     /** Whether no signal waits to be taken by the process. */
     private static boolean signalTaken(Process process) {
         try {
