A list that says that a worker drains ends the dials to it

Cause: the last send to a worker that drains counts by its first byte, which goes out once its connection is up: up to a connection's time (0.25 s here) after the decision. Ledger.resolved told the module and left attempts that were being dialled; only an operator's ban gave them up. So of the 2 s after a change is told, or the 6 s if it is not, a connection's time was lost on each path.

Change: what has not begun at a worker that is not in service any more is given up, as never sent, and the module places it elsewhere. EndingsTest forces it: a dial that comes up behind the list sends nothing; it did before.

--- a/src/main/java/saffronferry/state/Ledger.java
+++ b/src/main/java/saffronferry/state/Ledger.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import saffronferry.Balancer;
 import saffronferry.Beside;
@@ -152,6 +153,19 @@
         List<WorkerInfo> shown = resolved.take(update);
         ListKind kind = warmCopy ? ListKind.WARM_COPY : update.complete() ? ListKind.WHOLE : ListKind.CHANGES;
         report(new News.Resolved(kind, shown));
+        // guards the rule on drains against a connection's time: the first byte would go out that much later
+        giveUpUnbegun(subchannel -> !resolved.inService(subchannel));
+    }
+
+    /** Gives up, at subchannels of which this holds, attempts of which nothing has been sent. */
+    private void giveUpUnbegun(Predicate<String> where) {
+        for (Rpc<M> rpc : new ArrayList<>(open.values())) {
+            for (CallAttempt a : new ArrayList<>(rpc.attempts)) {
+                if (!a.hasBegun() && where.test(a.subchannel)) {
+                    giveUp(a, Outcome.NOT_SENT);
+                }
+            }
+        }
     }
 
     public void report(News news) {
@@ -168,13 +182,7 @@
             report(new News.Resolved(ListKind.CHANGES, changed));
         }
         // guards against what the balancer cannot recall: an attempt whose connection is yet to come up
-        for (Rpc<M> rpc : new ArrayList<>(open.values())) {
-            for (CallAttempt a : new ArrayList<>(rpc.attempts)) {
-                if (!a.hasBegun() && next.has(a.subchannel) && !before.has(a.subchannel)) {
-                    giveUp(a, Outcome.NOT_SENT);
-                }
-            }
-        }
+        giveUpUnbegun(subchannel -> next.has(subchannel) && !before.has(subchannel));
     }
 
     /** What another process of this dispatcher should know while it runs beside this one. */
--- a/src/main/java/saffronferry/state/ResolverResult.java
+++ b/src/main/java/saffronferry/state/ResolverResult.java
@@ -103,6 +103,12 @@
         return e == null ? null : e.address();
     }
 
+    /** Whether new attempts may go there, as far as told: on the list, in service, and not banned. */
+    boolean inService(String subchannel) {
+        ListUpdate.Entry e = entries.get(subchannel);
+        return e != null && e.info().state() == WorkerState.IN_SERVICE && !bans.has(subchannel);
+    }
+
     long revision() {
         return revision;
     }
--- a/src/test/java/saffronferry/lifecycle/EndingsTest.java
+++ b/src/test/java/saffronferry/lifecycle/EndingsTest.java
@@ -262,6 +262,35 @@
         assertTrue(late.said, told(late.said) <= 5700);
     }
 
+    /** A list that says that a worker drains ends the dials to it: their first bytes would come a connection's time later. */
+    @Test
+    public void aDialThatComesUpAfterTheListSaysThatItsWorkerDrainsBeginsNothing() throws Exception {
+        LateWorker late = keep(new LateWorker());
+        CountDownLatch dialled = new CountDownLatch(1);
+        config.getJSONObject("settings").getJSONObject("limits").put("connectTimeout", 8).put("probes", false);
+        members(entry("late", late.address(), 1, "SERVING", 0));
+        discovery.script = (request, out) -> {
+            Peer.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            Peer.chunk(out, "{\"revision\":1,\"complete\":false,\"members\":[]}");
+            while (!dialled.await(100, java.util.concurrent.TimeUnit.MILLISECONDS)) {
+                Peer.chunk(out, "");
+            }
+            Peer.chunk(out, "{\"revision\":2,\"complete\":false,\"members\":["
+                    + entry("late", late.address(), 1, "DRAINING", 0) + "," + entry("a", a.address(), 2, "SERVING", 0) + "]}");
+            Thread.sleep(60_000);
+            return false;
+        };
+        start();
+        Socket s = connect();
+        Peer.write(s.getOutputStream(), raw("drained", "body"));
+        await(() -> active() == 1);
+        dialled.countDown();
+        await(() -> a.requests.size() == 1); // the RPC goes to the one that is in service
+        late.open();
+        await(() -> late.ended >= 1);
+        assertEquals(0, late.bytes);
+    }
+
     /** When a worker breaks the connection of an attempt. */
     private enum Break { BEHIND_THE_REQUEST, BEHIND_THE_ANSWERS_HEAD, BEHIND_THE_START }
 
