Behind the last intake the listening socket is closed, what waits at it taken in first

Need: a connection in the system's queue when the process ends is reset with its request unread. Between the last intake, 2.9 s after SIGTERM, and the last answer, which may be many seconds later, connections were taken in and their requests refused one by one; in the last 50 ms and the JVM's exit one could be lost.

Change: at the last intake Node takes in what waits in the queue and closes the listening socket (BoundedTransport.handOver, as for a process that replaces this one), so that a later client is refused by the system and goes elsewhere. RulesOnSocketsTest: while a job of 6.5 s runs on, nobody can connect any more.

ConsoleTest.nothingLeavesAfterTheYesThoughItWasBeingDialled failed once beside a load of 17 on 8 cores: the 50 ms after which it took all attempts for read were too few (24 for 21).

--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -288,6 +288,8 @@
             vertx.setTimer(Math.max(1, next), t -> followDrain());
         } else if (drain.ending() && !lastIntake) {
             lastIntake = true;
+            // guards a request in the system's queue, or one that would come there yet, against our end
+            wire.takeTheLast();
             long until = now() + HALF_MS;
             vertx.setPeriodic(LOOK_MS, look -> {
                 if (wire.ledger().unanswered() == 0 && (now() >= until || wire.server().settled())) {
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -102,6 +102,11 @@
         transport.handOver();
     }
 
+    /** This process ends: takes what waits at our address, and lets no further connection come. */
+    public void takeTheLast() {
+        transport.handOver();
+    }
+
     /** The other process is gone: listens at our addresses again. */
     public void takeBack(Address clients) {
         transport.takeBack(new InetSocketAddress(clients.host(), clients.port()));
--- a/src/test/java/saffronferry/lifecycle/ConsoleTest.java
+++ b/src/test/java/saffronferry/lifecycle/ConsoleTest.java
@@ -195,7 +195,8 @@
             }
             Thread.sleep(0, random.nextInt(900_000));
             yes("/ops/workers/down/" + (out == a ? "a" : "b"));
-            Thread.sleep(50); // what had left before the yes is read by now, on a busy machine too
+            long written = written(); // what had left before the yes is read, however busy the machine
+            await(() -> a.requests.size() + b.requests.size() >= written);
             int got = out.requests.size();
             for (int i = 0; i < 6; i++) {
                 load.add(ask("directory-page", 4000));
@@ -210,6 +211,11 @@
         assertTrue("the workers were in use before", banned > 20);
     }
 
+    /** Attempts written whole so far. */
+    private long written() throws Exception {
+        return figure("app_tries{kind=\"directory-page\"}") + figure("app_tries{kind=\"record-gift\"}");
+    }
+
     @Test
     public void bansOutliveTheProcessAndADamagedFileEndsNoStart() throws Exception {
         Node first = node();
--- a/src/test/java/saffronferry/lifecycle/RulesOnSocketsTest.java
+++ b/src/test/java/saffronferry/lifecycle/RulesOnSocketsTest.java
@@ -286,4 +286,31 @@
         assertTrue(process.waitFor(5, TimeUnit.SECONDS));
         assertEquals(0, a.requests.size() + b.requests.size());
     }
+
+    /**
+     * A process that waits for its last answers lets nobody in any more: what came into the system's queue then would be reset
+     * at the end, unread. What waits there at the last intake is taken.
+     */
+    @Test
+    public void behindTheLastIntakeNoConnectionComesIn() throws Exception {
+        a.script = Peer.slow(6500);
+        b.script = a.script;
+        Process process = startProcess(configFile());
+        CompletableFuture<HttpResponse<String>> before = gift(20_000);
+        await(() -> a.requests.size() + b.requests.size() == 1);
+        java.net.Socket resting = connect();
+        Peer.write(resting.getOutputStream(), "GET /up HTTP/1.1\r\nHost: h\r\n\r\n");
+        process.destroy();
+        assertTrue(readAll(resting).startsWith("HTTP/1.1 ")); // until it is closed: the last intake
+        await(() -> {
+            try (java.net.Socket s = new java.net.Socket("127.0.0.1", port())) {
+                return false;
+            } catch (java.io.IOException refused) {
+                return true;
+            }
+        });
+        assertTrue("it ends with its last answer", process.isAlive());
+        assertEquals(200, get(before).statusCode());
+        assertTrue(process.waitFor(5, TimeUnit.SECONDS));
+    }
 }
