The rig measures a dispatcher that nobody asks anything, beside lists of several lengths

Need: 3 % of a core, 128 MB and 5 KB a second for control are limits of each dispatcher, and what an idle one spends was measured by hand, so that nobody could repeat it. `rig idle FILE.toml` starts one as the deployment's run line says, changes its list at a stated pace, and reads the system's own count of processor time (by kind of thread, too), memory and wake-ups.

Change: IdleDispatcher plays, ProcessUse reads /proc, ControlFigures reads the console's figures where there are any, DispatcherProcess can be started by a line for the shell, stand-ins count what they wrote and were asked.

--- a/src/main/java/saffronferry/cli/RigCommand.java
+++ b/src/main/java/saffronferry/cli/RigCommand.java
@@ -9,12 +9,15 @@
 import java.util.Locale;
 import org.json.JSONArray;
 import org.json.JSONObject;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import saffronferry.lab.scenario.Scenario;
+import saffronferry.rig.IdleDispatcher;
 import saffronferry.rig.Rig;
 
 /** The fault rig: real processes in real time. */
@@ -56,6 +59,72 @@
         return all.stream().allMatch(seen -> seen.getBoolean("held")) ? 0 : Main.BROKEN;
     }
 
+    @Command(name = "idle", description = "Measures one dispatcher that nobody asks anything, beside lists of "
+            + "several lengths, for the scenario's length each; 3 where a stated limit was broken.")
+    int idle(@Parameters(paramLabel = "SCENARIO.toml") Path file,
+            @Option(names = "--workers", split = ",", paramLabel = "N",
+            description = "lengths of the list; the scenario's by default") List<Integer> workers,
+            @Option(names = "--changes", defaultValue = "0.67",
+            description = "of the list, a second (${DEFAULT-VALUE})") double changes,
+            @Option(names = "--settle", defaultValue = "20",
+            description = "seconds before the first look (${DEFAULT-VALUE})") double settle,
+            @Option(names = "--seed", defaultValue = "1", description = "(${DEFAULT-VALUE})") long seed,
+            @Option(names = "--deploy", defaultValue = "deploy/balancer.toml", paramLabel = "FILE",
+            description = "whose key run starts the dispatcher (${DEFAULT-VALUE})") Path deploy,
+            @Option(names = "--most-core-percent", description = "a limit") Double mostCore,
+            @Option(names = "--most-resident-mb", description = "a limit") Double mostResident,
+            @Option(names = "--set", paramLabel = "KEY=VALUE",
+            description = "a key as lab explain prints it, with another value") List<String> set,
+            @Option(names = "--out", paramLabel = "FILE", description = "where the JSON result goes") Path out)
+            throws IOException, InterruptedException {
+        IdleDispatcher.Options options = new IdleDispatcher.Options(run(deploy), changes, settle);
+        Scenario scenario = LabCommand.read(file, set);
+        JSONArray plays = new JSONArray();
+        boolean held = true;
+        out().printf(Locale.ROOT, "%8s %6s %8s %9s %9s %9s %9s %11s%n", "workers", "zones", "% core", "MB",
+                "peak MB", "wake-ups", "bytes/s", "list bytes");
+        for (int n : workers == null ? List.of(scenario.workers()) : workers) {
+            List<String> values = new ArrayList<>(set == null ? List.of() : set);
+            values.add("fleet.workers=" + n);
+            JSONObject play = IdleDispatcher.play(LabCommand.read(file, values), seed, options);
+            plays.put(play);
+            JSONObject f = play.getJSONObject("figures");
+            out().printf(Locale.ROOT, "%8d %6d %8.2f %9.1f %9.1f %9.1f %9.1f %11d%n", n, play.getInt("zones"),
+                    f.getDouble("core_percent"), f.getDouble("resident_mb"), f.getDouble("resident_peak_mb"),
+                    f.getDouble("wake_ups_per_s"), f.getDouble("list_bytes_in_per_s"),
+                    f.getLong("list_whole_bytes"));
+            out().flush();
+            held &= within(n, f, "core_percent", mostCore) & within(n, f, "resident_mb", mostResident);
+        }
+        if (out != null) {
+            Files.writeString(out, new JSONObject().put("scenario", scenario.name()).put("seed", seed)
+                    .put("plays", plays).toString(1) + "\n");
+        }
+        return held ? 0 : Main.BROKEN;
+    }
+
+    private boolean within(int workers, JSONObject figures, String figure, Double most) {
+        boolean held = most == null || figures.getDouble(figure) <= most;
+        if (!held) {
+            spec.commandLine().getErr().println(workers + " workers: " + figure + " "
+                    + figures.getDouble(figure) + ", limit " + most);
+        }
+        return held;
+    }
+
+    /** A deployment's line that starts a dispatcher. */
+    private static String run(Path deploy) throws IOException {
+        TomlParseResult toml = Toml.parse(Files.readString(deploy));
+        if (toml.hasErrors()) {
+            throw new IllegalArgumentException(deploy + ":" + toml.errors().get(0).position().line() + ": "
+                    + toml.errors().get(0).getMessage());
+        }
+        if (!toml.isString("run")) {
+            throw new IllegalArgumentException(deploy + ": run: expected the line that starts a dispatcher");
+        }
+        return toml.getString("run");
+    }
+
     private PrintWriter out() {
         return spec.commandLine().getOut();
     }
--- a/src/main/java/saffronferry/rig/DispatcherProcess.java
+++ b/src/main/java/saffronferry/rig/DispatcherProcess.java
@@ -28,11 +28,19 @@
     final int port;
     final int peerPort;
     private final Path folder;
+    /** How a deployment starts it, for the shell; null: the program that this one is part of. */
+    private final String run;
     private Process process;
     private int life = -1;
     private boolean stopped;
 
     DispatcherProcess(int number, String host, int port, int peerPort, Path folder) {
+        this(number, host, port, peerPort, folder, null);
+    }
+
+    /** {@code run}: a deployment's line that ends in one process, as deploy/balancer.toml has it. */
+    DispatcherProcess(int number, String host, int port, int peerPort, Path folder, String run) {
+        this.run = run;
         this.number = number;
         this.host = host;
         this.port = port;
@@ -61,20 +69,28 @@
         Files.writeString(folder.resolve("config.json"), config.toString());
     }
 
-    /** Starts the program that this one is part of, in a process of its own. */
-    void start() throws IOException {
-        life++;
-        stopped = false;
-        Path temporary = Files.createDirectories(folder.resolve("tmp"));
+    private List<String> command(Path temporary) {
+        if (run != null) {
+            return List.of("sh", "-c", run);
+        }
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(JVM);
         command.addAll(List.of("-Djava.io.tmpdir=" + temporary, "-cp", System.getProperty("java.class.path"),
                 "saffronferry.cli.Main", "serve"));
+        return command;
+    }
+
+    /** Starts it, in a process of its own. */
+    void start() throws IOException {
+        life++;
+        stopped = false;
+        Path temporary = Files.createDirectories(folder.resolve("tmp"));
         // guards against a descriptor for each life: a pipe to a process stays open after its end
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectInput(NOTHING)
+        ProcessBuilder builder = new ProcessBuilder(command(temporary)).redirectErrorStream(true).redirectInput(NOTHING)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
         builder.environment().put("BALANCER_CONFIG", folder.resolve("config.json").toString());
+        builder.environment().put("TMPDIR", temporary.toString());
         process = builder.start();
     }
 
--- /dev/null
+++ b/src/main/java/saffronferry/rig/ProcessUse.java
@@ -0,0 +1,77 @@
+package saffronferry.rig;
+
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What a process has used until now, as the system counts it (Linux, {@code proc(5)}).
+ *
+ * @param cpuTicks processor time in the system's ticks of 10 ms, ended threads included
+ * @param nanosByThread processor time of each kind of thread that lives, in nanoseconds
+ * @param wakeUps how often a thread that lives went to sleep by itself, over all threads
+ * @param resident memory in bytes that it holds
+ * @param peak the most of it, in bytes, that it has held
+ */
+record ProcessUse(long cpuTicks, Map<String, Long> nanosByThread, long wakeUps, long resident, long peak) {
+    private static final double TICKS_PER_S = 100;
+    private static final double MB = 1 << 20;
+    /** What the JVM and the libraries call their threads, cut at 15 signs by the system. */
+    private static final Map<String, String> KINDS = Map.of("vert.x-eventloo", "loop", "VM Thread", "vm_thread",
+            "VM Periodic Tas", "vm_periodic", "C1 CompilerThre", "compiler", "vert.x-worker-t", "files",
+            "watchdog", "watchdog", "vertx-blocked-t", "blocked_check");
+
+    /** Of a process that lives; an {@link IOException} tells that it does not. */
+    static ProcessUse of(long pid) throws IOException {
+        Path proc = Path.of("/proc/" + pid);
+        String stat = Files.readString(proc.resolve("stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        Map<String, Long> nanos = new TreeMap<>();
+        long wakeUps = 0;
+        try (DirectoryStream<Path> tasks = Files.newDirectoryStream(proc.resolve("task"))) {
+            for (Path task : tasks) {
+                try {
+                    String name = Files.readString(task.resolve("comm")).strip();
+                    String[] times = Files.readString(task.resolve("schedstat")).split(" ");
+                    nanos.merge(KINDS.getOrDefault(name, "others"), Long.parseLong(times[0]), Long::sum);
+                    wakeUps += figure(Files.readString(task.resolve("status")), "voluntary_ctxt_switches:");
+                } catch (IOException e) {
+                    // guards against a thread that has ended since the folder was read
+                }
+            }
+        }
+        String status = Files.readString(proc.resolve("status"));
+        return new ProcessUse(Long.parseLong(fields[11]) + Long.parseLong(fields[12]), nanos, wakeUps,
+                figure(status, "VmRSS:") * 1024, figure(status, "VmHWM:") * 1024);
+    }
+
+    /** The first number of the line with that key; 0 where there is none. */
+    private static long figure(String status, String key) {
+        return status.lines().filter(line -> line.startsWith(key)).findFirst()
+                .map(line -> Long.parseLong(line.substring(key.length()).strip().split("\\s")[0])).orElse(0L);
+    }
+
+    /** Percent of one core since then. */
+    double corePercent(ProcessUse since, double seconds) {
+        return (cpuTicks - since.cpuTicks) / TICKS_PER_S / seconds * 100;
+    }
+
+    /** The same by kind of thread. */
+    Map<String, Double> corePercentByThread(ProcessUse since, double seconds) {
+        Map<String, Double> all = new TreeMap<>();
+        nanosByThread.forEach((kind, nanos) -> all.put(kind,
+                (nanos - since.nanosByThread.getOrDefault(kind, 0L)) / 1e9 / seconds * 100));
+        return all;
+    }
+
+    double residentMb() {
+        return resident / MB;
+    }
+
+    double peakMb() {
+        return peak / MB;
+    }
+}
--- a/src/main/java/saffronferry/rig/Rig.java
+++ b/src/main/java/saffronferry/rig/Rig.java
@@ -68,9 +68,7 @@
         context = vertx.getOrCreateContext();
         folder = Files.createTempDirectory("saffronferry-rig");
         guardian = new Guardian();
-        // a block of its own for each rig: two beside each other, or a test's sockets, must not meet
-        long self = ProcessHandle.current().pid() * 31 + System.nanoTime() / 1000;
-        block = "127." + (64 + self % 150) + "." + (1 + self / 150 % 250) + ".";
+        block = block();
         judge = new Judge(scenario, workers, this::now);
         relay = new Relay(vertx, scenario.dispatchers(), this::now, random.split());
         for (int i = 0; i < scenario.dispatchers(); i++) {
@@ -91,7 +89,13 @@
         return epoch + System.nanoTime() / 1000;
     }
 
-    private static int freePort(String host) throws IOException {
+    /** A block of addresses of its own for each rig: two beside each other, or a test's, must not meet. */
+    static String block() {
+        long self = ProcessHandle.current().pid() * 31 + System.nanoTime() / 1000;
+        return "127." + (64 + self % 150) + "." + (1 + self / 150 % 250) + ".";
+    }
+
+    static int freePort(String host) throws IOException {
         try (ServerSocket tcp = new ServerSocket(0, 1, InetAddress.getByName(host))) {
             DatagramSocket udp = new DatagramSocket(tcp.getLocalPort(), InetAddress.getByName(host));
             udp.close();
--- a/src/main/java/saffronferry/rig/StandInDiscovery.java
+++ b/src/main/java/saffronferry/rig/StandInDiscovery.java
@@ -31,6 +31,7 @@
     private final List<JSONObject> changes = new ArrayList<>();
     private HttpServerResponse watch;
     private long revision = 1;
+    private long written;
     private boolean down;
     private boolean withheld;
     private long disorder; // microseconds by which a change may come later
@@ -44,11 +45,21 @@
         server = vertx.createHttpServer().requestHandler(this::handle);
         vertx.setPeriodic(STILL_THERE_MS, t -> {
             if (watch != null) {
-                watch.write("\n");
+                write("\n");
             }
         });
     }
 
+    /** How many bytes of lines it has written to its dispatcher, heads and the chunks' own lines not counted. */
+    long written() {
+        return written;
+    }
+
+    private void write(String line) {
+        written += line.length(); // ids, zones and kinds are ASCII here
+        watch.write(line);
+    }
+
     Future<?> listen(String host) {
         return server.listen(0, host);
     }
@@ -126,7 +137,7 @@
 
     private void tell(JSONObject update) {
         watcher.told(dispatcher, update);
-        watch.write(update + "\n");
+        write(update + "\n");
     }
 
     private void handle(HttpServerRequest request) {
--- a/src/main/java/saffronferry/rig/StandInWorker.java
+++ b/src/main/java/saffronferry/rig/StandInWorker.java
@@ -44,6 +44,7 @@
     private boolean draining;
     private boolean down;
     private boolean silent;
+    private long probes;
 
     StandInWorker(Vertx vertx, LongSupplier clock, Watcher watcher, String id, int zone, int kindIndex,
             int cell, Kind kind, double speed, long startedAt) {
@@ -71,6 +72,11 @@
         return server.actualPort();
     }
 
+    /** How often it has been asked for its load. */
+    long probes() {
+        return probes;
+    }
+
     boolean down() {
         return down;
     }
@@ -112,6 +118,7 @@
         request.exceptionHandler(e -> { });
         request.response().exceptionHandler(e -> { });
         if (request.path().equals("/metrics/load")) {
+            probes++;
             step();
             double busy = 1 - model.free() / (double) (model.free() + model.held() + 1);
             request.response().end(silent ? "" : String.format(Locale.ROOT, "tps=%.1f,load_share=%.2f,x0=%d",
--- a/src/test/java/saffronferry/cli/MainTest.java
+++ b/src/test/java/saffronferry/cli/MainTest.java
@@ -26,6 +26,9 @@
             {0, "lab sweep examples/lab/alumni-hosting.toml --set load.share=0.2,0.3 --seeds 1"},
             {2, "lab sweep examples/lab/alumni-hosting.toml --set load.shar=0.2"},
             {2, "lab sweep examples/lab/alumni-hosting.toml --set load.share=much"},
+            {2, "rig idle"}, {2, "rig idle " + bad}, {2, "rig idle examples/rig/idle.toml --workers many"},
+            {2, "rig idle examples/rig/idle.toml --deploy " + bad},
+            {1, "rig idle examples/rig/idle.toml --deploy " + dir.resolve("none.toml")},
         };
         for (Object[] c : cases) {
             assertEquals(c[0], Main.execute(((String) c[1]).split(" ")), (String) c[1]);
--- /dev/null
+++ b/src/test/java/saffronferry/rig/IdleDispatcherTest.java
@@ -0,0 +1,67 @@
+package saffronferry.rig;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertThrows;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.Map;
+import org.json.JSONObject;
+import org.junit.Test;
+import saffronferry.lab.scenario.ScenarioReader;
+
+/** What one real dispatcher spends where nothing happens but changes of the list. */
+public class IdleDispatcherTest {
+    /** A small one: its figures are there and of the right kind; how large they are is the command's. */
+    @Test
+    public void anIdleDispatcherIsMeasuredAndNothingIsLeft() throws Exception {
+        long before = ProcessHandle.current().children().count();
+        JSONObject play = IdleDispatcher.play(ScenarioReader.parse("small.toml", """
+                length_s = 2
+                [fleet]
+                zones = ["a", "b"]
+                workers = 30
+                """), 1, new IdleDispatcher.Options(null, 10, 0.1));
+        assertEquals(before, ProcessHandle.current().children().count());
+        JSONObject f = play.getJSONObject("figures");
+        assertEquals(play.toString(), 30, play.getInt("workers"));
+        assertTrue("changes came while it was measured: " + f, f.getInt("list_changes") > 0);
+        assertTrue("their bytes are counted: " + f, f.getLong("list_bytes_in") > 100 * f.getInt("list_changes"));
+        assertTrue("30 entries, and one more while one drains: " + f,
+                f.getLong("list_whole_bytes") > 3_000 && f.getLong("list_whole_bytes") < 6_000);
+        assertTrue("it spends something, and no more than there is: " + f,
+                f.getDouble("core_percent") > 0 && f.getDouble("core_percent") < 800);
+        assertTrue("the loop's part is known: " + f, f.getDouble("core_percent_loop") > 0);
+        assertTrue("a JVM's size: " + f, f.getDouble("resident_mb") > 20
+                && f.getDouble("resident_mb") <= f.getDouble("resident_peak_mb"));
+        assertTrue("its ticks wake it: " + f, f.getDouble("wake_ups_per_s") > 1);
+    }
+
+    @Test
+    public void whatAProcessUsesIsReadFromTheSystem() throws Exception {
+        ProcessUse first = ProcessUse.of(ProcessHandle.current().pid());
+        long work = 0;
+        ProcessUse last = first;
+        while (last.cpuTicks() - first.cpuTicks() < 5) { // of 10 ms each
+            for (int i = 0; i < 1_000_000; i++) {
+                work += i * work;
+            }
+            last = ProcessUse.of(ProcessHandle.current().pid());
+        }
+        assertTrue("worked: " + work, last.corePercent(first, 0.05) >= 100 - 1e-6);
+        assertTrue(last.corePercentByThread(first, 0.05).values().stream().mapToDouble(p -> p).sum() > 50);
+        assertTrue(last.residentMb() > 10 && last.peakMb() >= last.residentMb());
+        assertThrows(IOException.class, () -> ProcessUse.of(Long.MAX_VALUE));
+    }
+
+    @Test
+    public void aConsolesControlFiguresAreReadAndNoOthers() {
+        assertEquals(Map.of("console_bytes_list_in", 12.0, "console_core_seconds", 0.25), ControlFigures.of("""
+                # HELP app_control_bytes x
+                app_responses{kind="a",result="ok"} 3
+                app_control_bytes{kind="list",way="in"} 12
+                app_control_core_seconds 0.250
+                """));
+        assertEquals(Map.of(), ControlFigures.of(""));
+    }
+}
