The console tells bytes of control by kind, processor time and memory

Need: a dispatcher may spend 3 % of a core, 128 MB and 5 KB a second on control, and operators could see none of the three.

Ruled out: the library's metrics, which cost every connection; the platform's management beans, whose classes a start would load; reading /proc at each call, on the loop; a window that depends on who calls how often.

Change: ControlSpend (ops, the clock handed in) keeps bytes of lists, datagrams and probes and the samples of the last minute; Dialer counts next to the socket, for discovery and probes alone, PeerSocket counts payloads, OwnUse reads /proc/self every 5 s on the library's blocking thread. Lines that exist stay as they are. Processor time of jobs cannot be told from that of control, and the page says so.

Tests: the text and its window, the table of what the system may say, bytes of a list and of probes as stand-ins had them.

--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -211,7 +211,7 @@
     }
 
     private Future<Void> openConsole() {
-        desk = new Console(vertx, wire.ledger(), figures, banFile, new Console.Floor() {
+        desk = new Console(vertx, wire.ledger(), figures, transport.control(), banFile, new Console.Floor() {
             @Override
             public boolean ready() {
                 return ready && !drain.ending();
@@ -230,6 +230,7 @@
                 return open;
             }
         }, log);
+        OwnUse.keep(vertx, transport.control());
         return new ConsoleServer(vertx, descriptors, transport, desk).listen(config.console);
     }
 
--- a/src/main/java/saffronferry/ops/Figures.java
+++ b/src/main/java/saffronferry/ops/Figures.java
@@ -99,7 +99,7 @@
         out.append(name).append(' ').append(value).append('\n');
     }
 
-    private static void head(StringBuilder out, String name, String type, String help) {
+    static void head(StringBuilder out, String name, String type, String help) {
         out.append("# HELP ").append(name).append(' ').append(help).append('\n');
         out.append("# TYPE ").append(name).append(' ').append(type).append('\n');
     }
--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.TimeUnit;
 import saffronferry.limit.AcceptGate;
 import saffronferry.log.BoundedLog;
+import saffronferry.ops.ControlSpend;
 
 /**
  * The library's transport with two changes. Connections are accepted on the event loop itself: the library's
@@ -42,6 +43,7 @@
 
     private final Door clients;
     private final BoundedLog log;
+    private final ControlSpend control = new ControlSpend();
     private final List<Acceptor> acceptors = new ArrayList<>();
     private EventLoopGroup loops;
     private Runnable onListenerLost = () -> { };
@@ -59,6 +61,11 @@
         this.log = log;
     }
 
+    /** What goes over the sockets made here for control; those who open them count. */
+    public ControlSpend control() {
+        return control;
+    }
+
     Door clients() {
         return clients;
     }
--- a/src/main/java/saffronferry/wire/Dialer.java
+++ b/src/main/java/saffronferry/wire/Dialer.java
@@ -1,5 +1,11 @@
 package saffronferry.wire;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
@@ -15,6 +21,8 @@
 import saffronferry.Contract.Outcome;
 import saffronferry.limit.Descriptors;
 import saffronferry.limit.Descriptors.Purpose;
+import saffronferry.ops.ControlSpend;
+import saffronferry.ops.ControlSpend.Kind;
 
 /** Opens a connection for each request that goes out, within what its purpose may hold. */
 final class Dialer {
@@ -25,6 +33,8 @@
     private final HttpClient client;
     private final Descriptors descriptors;
     private final Purpose purpose;
+    /** Null where nobody counts what goes over these connections. */
+    private final ByteCounter counter;
 
     /** Made once and without a trace: it is thrown when there is little to make anything with. */
     private static final class NoneLeft extends SocketException {
@@ -38,11 +48,43 @@
         }
     }
 
+    /** Counts what goes over a connection, heads included: it stands next to the socket. */
+    @ChannelHandler.Sharable
+    private static final class ByteCounter extends ChannelDuplexHandler {
+        private final ControlSpend spend;
+        private final Kind kind;
+
+        ByteCounter(ControlSpend spend, Kind kind) {
+            this.spend = spend;
+            this.kind = kind;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            spend.heard(kind, size(bytes));
+            ctx.fireChannelRead(bytes);
+        }
+
+        @Override
+        public void write(ChannelHandlerContext ctx, Object bytes, ChannelPromise promise) {
+            spend.said(kind, size(bytes));
+            ctx.write(bytes, promise);
+        }
+
+        private static int size(Object bytes) {
+            return bytes instanceof ByteBuf b ? b.readableBytes() : 0;
+        }
+    }
+
     Dialer(Vertx vertx, HttpClient client, Descriptors descriptors, Purpose purpose) {
         loop = ((VertxInternal) vertx).getOrCreateContext().nettyEventLoop();
         this.client = client;
         this.descriptors = descriptors;
         this.purpose = purpose;
+        boolean counted = ((VertxInternal) vertx).transport() instanceof BoundedTransport;
+        counter = !counted || purpose == Purpose.WORKERS ? null : new ByteCounter(
+                ((BoundedTransport) ((VertxInternal) vertx).transport()).control(),
+                purpose == Purpose.DISCOVERY ? Kind.LISTS : Kind.PROBES);
     }
 
     /** Tells of the request once it may be written, or why there is none. */
@@ -55,6 +97,9 @@
         RequestOptions to = new RequestOptions().setMethod(method).setHost(at.host()).setPort(at.port());
         client.request(to.setURI(uri)).onSuccess(request -> {
             releaseAtEndOf(request.connection());
+            if (counter != null) {
+                channel(request.connection()).pipeline().addFirst(counter); // before a byte has come or gone
+            }
             opened.accept(request);
         }).onFailure(e -> {
             release();
@@ -72,7 +117,11 @@
     }
 
     private void releaseAtEndOf(HttpConnection connection) {
-        ((HttpClientConnection) connection).channel().closeFuture().addListener(f -> release());
+        channel(connection).closeFuture().addListener(f -> release());
+    }
+
+    private static Channel channel(HttpConnection connection) {
+        return ((HttpClientConnection) connection).channel();
     }
 
     private void release() {
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -56,7 +56,7 @@
         discovery = new DiscoveryWatch(vertx, o.discovery(), o.lists(), u -> ledger.resolved(u, false),
                 how -> ledger.report(new News.WatchLost(how)), descriptors, log);
         peers = new PeerSocket(vertx, o.peers(),
-                (peer, bytes) -> ledger.report(new News.PeerSaid(peer, bytes)), log);
+                (peer, bytes) -> ledger.report(new News.PeerSaid(peer, bytes)), transport.control(), log);
         server = new ChannelServer(vertx, new RpcParser(o.classes(), o.tenants()), ledger,
                 transport, figures, log);
     }
--- a/src/test/java/saffronferry/lifecycle/ConsoleTest.java
+++ b/src/test/java/saffronferry/lifecycle/ConsoleTest.java
@@ -1,6 +1,7 @@
 package saffronferry.lifecycle;
 
 import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertThrows;
 import static org.junit.Assert.assertTrue;
 
 import java.io.IOException;
@@ -129,6 +130,44 @@
         assertEquals(byChoice + 1, figure("app_pool_ejected"));
     }
 
+    private void awaitFigure(String name, long over) throws InterruptedException {
+        await(() -> {
+            try {
+                return figure(name) > over;
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        });
+    }
+
+    /** Bytes of discovery, of probes and of peers are in the figures as the stand-ins said and heard them. */
+    @Test
+    public void whatControlCostsIsToldByKind() throws Exception {
+        String told = "{\"revision\":2,\"complete\":true,\"members\":[" + entry("a", a.address(), 1, "SERVING", 0)
+                + "]}";
+        discovery.script = tell(told);
+        start();
+        awaitFigure("app_control_bytes{kind=\"lists\",way=\"in\"}", told.length());
+        assertTrue("and the head of an answer", figure("app_control_bytes{kind=\"lists\",way=\"in\"}")
+                < told.length() + 500);
+        assertTrue("the call", figure("app_control_bytes{kind=\"lists\",way=\"out\"}") > 50);
+        awaitFigure("app_control_bytes{kind=\"probes\",way=\"out\"}", 50);
+        awaitFigure("app_control_resident_bytes", 10_000_000);
+        String cpu = call("GET", "/ops/stats").lines().filter(l -> l.startsWith("app_control_cpu_seconds "))
+                .findFirst().orElseThrow();
+        assertTrue(cpu, Double.parseDouble(cpu.split(" ")[1]) > 0);
+    }
+
+    @Test
+    public void whatTheSystemSaysOfTheProcessIsRead() throws Exception {
+        String stat = "7 (a) b (c) S 1 1 1 0 -1 0 9 9 9 9 120 30 0 0 20 0 9";
+        assertEquals(new OwnUse.Use(1_500, 2_048), OwnUse.read(stat, "Name:\tx\nVmRSS:\t     2 kB\n"));
+        for (String[] bad : new String[][] {{"", ""}, {stat, "Name:\tx\n"}, {"7 (a) S 1", "VmRSS: 2 kB"}}) {
+            assertThrows(IOException.class, () -> OwnUse.read(bad[0], bad[1]));
+        }
+        assertTrue(OwnUse.read().resident() > 10_000_000 && OwnUse.read().cpu() > 0);
+    }
+
     @Test
     public void whatWasTakenOutGetsNothingUntilTheCallBackWhateverTheListSays() throws Exception {
         a.script = Peer.slow(400);
--- a/src/test/java/saffronferry/ops/OpsTest.java
+++ b/src/test/java/saffronferry/ops/OpsTest.java
@@ -36,6 +36,32 @@
                 "app_tries{kind=\"gift\"} 1", "app_active 14", "app_pool_size 9", "app_pool_ejected 2", "app_x 0.250", "app_y 1000000000"), lines);
     }
 
+    @Test
+    void whatControlCostsIsCountedByKindAndToldAsRatesOfTheLastMinute() {
+        ControlSpend spend = new ControlSpend();
+        assertTrue(spend.text().contains("\napp_control_core_percent 0\n"), "nothing is known yet");
+        spend.sampled(1_000, 500, 1);
+        spend.heard(ControlSpend.Kind.LISTS, 3_000);
+        spend.heard(ControlSpend.Kind.LISTS, 500);
+        spend.said(ControlSpend.Kind.DATAGRAMS, 256);
+        spend.heard(ControlSpend.Kind.PROBES, 44);
+        spend.sampled(11_000, 650, 70_000_000);
+        assertEquals(List.of("app_control_bytes{kind=\"lists\",way=\"in\"} 3500",
+                "app_control_bytes{kind=\"lists\",way=\"out\"} 0",
+                "app_control_bytes{kind=\"datagrams\",way=\"in\"} 0",
+                "app_control_bytes{kind=\"datagrams\",way=\"out\"} 256",
+                "app_control_bytes{kind=\"probes\",way=\"in\"} 44",
+                "app_control_bytes{kind=\"probes\",way=\"out\"} 0", "app_control_bytes_per_second 380",
+                "app_control_cpu_seconds 0.650", "app_control_core_percent 1.500",
+                "app_control_resident_bytes 70000000"),
+                spend.text().lines().filter(l -> !l.startsWith("#")).toList());
+        for (int s = 16; s <= 300; s += 5) {
+            spend.sampled(s * 1_000, 650 + s, 1);
+        }
+        assertTrue(spend.text().contains("\napp_control_core_percent 0.100\n"), "the burst is long ago: " + spend.text());
+        assertTrue(spend.text().contains("\napp_control_bytes_per_second 0\n"), spend.text());
+    }
+
     @Test
     void aClassCannotEndItsLabelEarly() {
         String text = new Figures(List.of("a\"} 9\nb\\")).text(new Figures.Now(0, 0, 0, List.of()));
