--- a/src/main/java/saffronferry/cli/RigCommand.java
+++ b/src/main/java/saffronferry/cli/RigCommand.java
@@ -59,8 +59,8 @@
         return all.stream().allMatch(seen -> seen.getBoolean("held")) ? 0 : Main.BROKEN;
     }
 
-    @Command(name = "idle", description = "Measures one dispatcher that nobody asks anything, beside lists of "
-            + "several lengths, for the scenario's length each; 3 where a stated limit was broken.")
+    @Command(name = "idle", description = "Measures one dispatcher that nobody asks anything, beside "
+            + "lists of several lengths, for the scenario's length each; 3 where a stated limit was broken.")
     int idle(@Parameters(paramLabel = "SCENARIO.toml") Path file,
             @Option(names = "--workers", split = ",", paramLabel = "N",
             description = "lengths of the list; the scenario's by default") List<Integer> workers,
@@ -75,8 +75,8 @@
             @Option(names = "--most-resident-mb", description = "a limit") Double mostResident,
             @Option(names = "--set", paramLabel = "KEY=VALUE",
             description = "a key as lab explain prints it, with another value") List<String> set,
-            @Option(names = "--out", paramLabel = "FILE", description = "where the JSON result goes") Path out)
-            throws IOException, InterruptedException {
+            @Option(names = "--out", paramLabel = "FILE", description = "where the JSON result goes")
+            Path out) throws IOException, InterruptedException {
         IdleDispatcher.Options options = new IdleDispatcher.Options(run(deploy), changes, settle);
         Scenario scenario = LabCommand.read(file, set);
         JSONArray plays = new JSONArray();
--- a/src/main/java/saffronferry/lifecycle/OwnUse.java
+++ b/src/main/java/saffronferry/lifecycle/OwnUse.java
@@ -30,7 +30,8 @@
 
     /** Reads files. */
     static Use read() throws IOException {
-        return read(Files.readString(Path.of("/proc/self/stat")), Files.readString(Path.of("/proc/self/status")));
+        return read(Files.readString(Path.of("/proc/self/stat")),
+                Files.readString(Path.of("/proc/self/status")));
     }
 
     /** Of the texts of {@code stat} and {@code status} as proc(5) has them. */
--- a/src/main/java/saffronferry/ops/ControlSpend.java
+++ b/src/main/java/saffronferry/ops/ControlSpend.java
@@ -4,9 +4,9 @@
 import java.util.Locale;
 
 /**
- * What a dispatcher spends on control, so that operators can hold it against what it may: bytes by kind, counted
- * where they are written and read, and samples of the process's own use, over the last minute where a rate is told.
- * Times in milliseconds, the clock handed in. For one thread.
+ * What a dispatcher spends on control, so that operators can hold it against what it may: bytes by kind,
+ * counted where they are written and read, and samples of the process's own use, over the last minute where a
+ * rate is told. Times in milliseconds, the clock handed in. For one thread.
  */
 public final class ControlSpend {
     /** What control speaks of. Jobs and their answers are not control. */
@@ -83,9 +83,11 @@
         Sample first = samples.peekFirst();
         Sample last = samples.peekLast();
         double seconds = first == null ? 0 : (last.at - first.at) / 1e3;
-        gauge(text, "app_control_bytes_per_second", "The same, all kinds and both ways, over the last minute.",
+        gauge(text, "app_control_bytes_per_second",
+                "The same, all kinds and both ways, over the last minute.",
                 seconds > 0 ? (last.bytes - first.bytes) / seconds : 0);
-        Figures.head(text, "app_control_cpu_seconds", "counter", "Processor time of the process, jobs included.");
+        Figures.head(text, "app_control_cpu_seconds", "counter",
+                "Processor time of the process, jobs included.");
         line(text, "app_control_cpu_seconds", last == null ? 0 : last.cpu / 1e3);
         gauge(text, "app_control_core_percent", "The same in percent of a core, over the last minute.",
                 seconds > 0 ? (last.cpu - first.cpu) / 1e3 / seconds * 100 : 0);
--- a/src/main/java/saffronferry/rig/DispatcherProcess.java
+++ b/src/main/java/saffronferry/rig/DispatcherProcess.java
@@ -87,7 +87,8 @@
         stopped = false;
         Path temporary = Files.createDirectories(folder.resolve("tmp"));
         // guards against a descriptor for each life: a pipe to a process stays open after its end
-        ProcessBuilder builder = new ProcessBuilder(command(temporary)).redirectErrorStream(true).redirectInput(NOTHING)
+        ProcessBuilder builder = new ProcessBuilder(command(temporary)).redirectErrorStream(true)
+                .redirectInput(NOTHING)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
         builder.environment().put("BALANCER_CONFIG", folder.resolve("config.json").toString());
         builder.environment().put("TMPDIR", temporary.toString());
--- a/src/main/java/saffronferry/rig/IdleDispatcher.java
+++ b/src/main/java/saffronferry/rig/IdleDispatcher.java
@@ -63,7 +63,8 @@
         this.scenario = scenario;
         this.options = options;
         random = new SplittableRandom(seed);
-        dispatcher = new DispatcherProcess(0, host, Rig.freePort(host), Rig.freePort(host), folder, options.run());
+        dispatcher = new DispatcherProcess(0, host, Rig.freePort(host), Rig.freePort(host), folder,
+                options.run());
         consolePort = Rig.freePort(host);
         discovery = new StandInDiscovery(vertx, 0, (d, update) -> { });
         worker = new StandInWorker(vertx, IdleDispatcher::now, new StandInWorker.Watcher() {
@@ -137,7 +138,8 @@
         Seen after = onLoop(this::seen);
         JSONObject figures = new JSONObject()
                 .put("core_percent", rounded(last.corePercent(first, seconds)))
-                .put("resident_mb", rounded(last.residentMb())).put("resident_peak_mb", rounded(last.peakMb()))
+                .put("resident_mb", rounded(last.residentMb()))
+                .put("resident_peak_mb", rounded(last.peakMb()))
                 .put("wake_ups_per_s", rounded((last.wakeUps() - first.wakeUps()) / seconds))
                 .put("list_whole_bytes", after.whole)
                 .put("list_bytes_in", after.list - before.list)
@@ -184,7 +186,8 @@
 
     private void add(int number, long startedAt) {
         int zones = scenario.zones().size();
-        JSONObject entry = new JSONObject().put("id", "w" + number).put("host_port", host + ":" + worker.port())
+        JSONObject entry = new JSONObject().put("id", "w" + number)
+                .put("host_port", host + ":" + worker.port())
                 .put("locality", scenario.zones().get(number % zones))
                 .put("flavor", scenario.kinds().get(number % scenario.kinds().size()).name())
                 .put("cell", number % zones * 1_000_000 + number / zones / scenario.cellSize())
--- a/src/main/java/saffronferry/rig/ProcessUse.java
+++ b/src/main/java/saffronferry/rig/ProcessUse.java
@@ -20,8 +20,9 @@
     private static final double TICKS_PER_S = 100;
     private static final double MB = 1 << 20;
     /** What the JVM and the libraries call their threads, cut at 15 signs by the system. */
-    private static final Map<String, String> KINDS = Map.of("vert.x-eventloo", "loop", "VM Thread", "vm_thread",
-            "VM Periodic Tas", "vm_periodic", "C1 CompilerThre", "compiler", "vert.x-worker-t", "files",
+    private static final Map<String, String> KINDS = Map.of("vert.x-eventloo", "loop",
+            "VM Thread", "vm_thread", "VM Periodic Tas", "vm_periodic",
+            "C1 CompilerThre", "compiler", "vert.x-worker-t", "files",
             "watchdog", "watchdog", "vertx-blocked-t", "blocked_check");
 
     /** Of a process that lives; an {@link IOException} tells that it does not. */
--- a/src/main/java/saffronferry/rig/StandInDiscovery.java
+++ b/src/main/java/saffronferry/rig/StandInDiscovery.java
@@ -50,7 +50,7 @@
         });
     }
 
-    /** How many bytes of lines it has written to its dispatcher, heads and the chunks' own lines not counted. */
+    /** How many bytes of lines it has written to its dispatcher, without heads and the chunks' own lines. */
     long written() {
         return written;
     }
