Lists are read token by token, and the configuration holds the known one no longer

Cause: a list of 21,000 workers is 3.1 MB of text, and as a tree of JSONObjects some 52 MB are allocated for it, in a heap of 64. The heap grows to its most at the start (configuration key known) and stays so: of 111 MB resident 63 are the heap, of which 20 live. Half of the entries that live (42,000 WorkerInfo for 21,000 workers in a class histogram) are the configuration's, which the process keeps for good.

Lines: ListParser.parse(String) made the tree; Config.read made one of the whole file; Config.known was final.

Change: ListParser reads tokens (jackson-core, which vertx-core brings along); Config cuts the text of known out before it makes a tree of the rest, and gives the list away once. A name twice in an object is malformed as before; what may be missing, and an entry that costs itself alone, stay as they were. Stricter than before: complete must be a boolean and not the text of one.

Ruled out: one JSONObject for each entry in turn, which keeps the processor time; a collection of garbage after the start, whose pause parks the loop.

Seen by the way: from 30,000 workers on the list's line is longer than DiscoveryWatch takes (4 MiB), and it asks again for good: 4 to 8 MB a second. Not mended here. The rig's wake-ups are counted by thread, since one that ended made them negative.

--- a/src/main/java/saffronferry/lifecycle/Config.java
+++ b/src/main/java/saffronferry/lifecycle/Config.java
@@ -31,7 +31,7 @@
     final int sockets;
     final SettingsReader settings;
     final ListParser lists;
-    final ListUpdate known;
+    private ListUpdate known;
     /** What of the known list could not be read, and is left out. */
     final List<String> unreadable = new ArrayList<>();
 
@@ -42,11 +42,15 @@
             throw new IllegalArgumentException("BALANCER_CONFIG is not set");
         }
         try {
-            JSONObject json = new JSONObject(Files.readString(Path.of(file)));
+            String text = Files.readString(Path.of(file));
+            int[] at = ListParser.find(text, "known");
+            JSONObject json = new JSONObject(at == null ? text
+                    : text.substring(0, at[0]) + "null" + text.substring(at[1]));
             standIn(json, "listen", environment.get("BALANCER_LISTEN"));
             standIn(json, "discovery", environment.get("BALANCER_DISCOVERY"));
             standIn(json, "console", environment.get("BALANCER_CONSOLE"));
-            return new Config(json, Path.of(System.getProperty("java.io.tmpdir")));
+            return new Config(json, at == null ? null : text.substring(at[0], at[1]),
+                    Path.of(System.getProperty("java.io.tmpdir")));
         } catch (IOException e) {
             throw new IllegalArgumentException("BALANCER_CONFIG: cannot read " + file);
         } catch (JSONException e) {
@@ -61,6 +65,11 @@
 
     /** {@code folder}: where what outlives the process is kept, as far as the platform lets it. */
     Config(JSONObject json, Path folder) {
+        this(json, null, folder);
+    }
+
+    /** {@code list}: the text of the key {@code known} where the JSON is without it, else null. */
+    private Config(JSONObject json, String list, Path folder) {
         this.folder = folder;
         listen = key("listen", () -> Address.parse(json.getString("listen")));
         discovery = key("discovery", () -> Address.parse(json.getString("discovery")));
@@ -74,8 +83,16 @@
                 : Long.parseUnsignedLong(json.getString("seed"), 16));
         settings = key("settings", () -> new SettingsReader(seed, json.getJSONObject("settings")));
         lists = new ListParser(settings.kinds, settings.zones);
-        known = key("known", () -> json.isNull("known") ? new ListUpdate(0, true, List.of())
-                : lists.parse(json.getJSONObject("known"), unreadable::add));
+        String told = list != null || json.isNull("known") ? list : json.get("known").toString();
+        known = key("known", () -> told == null ? new ListUpdate(0, true, List.of())
+                : lists.parse(told, unreadable::add));
+    }
+
+    /** The known list, once: the configuration lives on, and need not hold a large fleet twice. */
+    ListUpdate takeKnown() {
+        ListUpdate taken = known;
+        known = null;
+        return taken;
     }
 
     /**
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -163,7 +163,7 @@
             wire.ledger().ban(bans); // before the first decision
             console = openConsole();
         }
-        return console.compose(v -> wire.begin(config.known)).onSuccess(v -> keepCompany())
+        return console.compose(v -> wire.begin(config.takeKnown())).onSuccess(v -> keepCompany())
                 .compose(v -> wire.server().listen(config.listen))
                 .compose(v -> wire.warmUp(config.listen))
                 .compose(v -> company == null ? Future.succeededFuture() : company.announce())
--- a/src/main/java/saffronferry/rig/IdleDispatcher.java
+++ b/src/main/java/saffronferry/rig/IdleDispatcher.java
@@ -56,6 +56,7 @@
     private final int consolePort;
     private final List<JSONObject> listed = new ArrayList<>();
     private JSONObject leaving;
+    private double startSeconds;
     private int changes;
     private boolean closed;
 
@@ -120,6 +121,7 @@
             }
             Thread.sleep(50);
         }
+        startSeconds = ProcessUse.of(dispatcher.process().pid()).cpuSeconds();
         if (options.changesPerS() > 0) {
             vertx.setPeriodic(Math.max(1, Math.round(1000 / options.changesPerS())), t -> change());
         }
@@ -138,9 +140,9 @@
         Seen after = onLoop(this::seen);
         JSONObject figures = new JSONObject()
                 .put("core_percent", rounded(last.corePercent(first, seconds)))
-                .put("resident_mb", rounded(last.residentMb()))
+                .put("start_cpu_s", startSeconds).put("resident_mb", rounded(last.residentMb()))
                 .put("resident_peak_mb", rounded(last.peakMb()))
-                .put("wake_ups_per_s", rounded((last.wakeUps() - first.wakeUps()) / seconds))
+                .put("wake_ups_per_s", rounded(last.wakeUps(first) / seconds))
                 .put("list_whole_bytes", after.whole)
                 .put("list_bytes_in", after.list - before.list)
                 .put("list_bytes_in_per_s", rounded((after.list - before.list) / seconds))
--- a/src/main/java/saffronferry/rig/ProcessUse.java
+++ b/src/main/java/saffronferry/rig/ProcessUse.java
@@ -11,12 +11,15 @@
  * What a process has used until now, as the system counts it (Linux, {@code proc(5)}).
  *
  * @param cpuTicks processor time in the system's ticks of 10 ms, ended threads included
- * @param nanosByThread processor time of each kind of thread that lives, in nanoseconds
- * @param wakeUps how often a thread that lives went to sleep by itself, over all threads
+ * @param threads those that live, by their ids
  * @param resident memory in bytes that it holds
  * @param peak the most of it, in bytes, that it has held
  */
-record ProcessUse(long cpuTicks, Map<String, Long> nanosByThread, long wakeUps, long resident, long peak) {
+record ProcessUse(long cpuTicks, Map<String, Thread> threads, long resident, long peak) {
+    /** What kind a thread is of, its processor time in nanoseconds, how often it went to sleep by itself. */
+    record Thread(String kind, long nanos, long sleeps) { }
+
+    private static final Thread NONE = new Thread("", 0, 0);
     private static final double TICKS_PER_S = 100;
     private static final double MB = 1 << 20;
     /** What the JVM and the libraries call their threads, cut at 15 signs by the system. */
@@ -30,22 +33,22 @@
         Path proc = Path.of("/proc/" + pid);
         String stat = Files.readString(proc.resolve("stat"));
         String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        Map<String, Long> nanos = new TreeMap<>();
-        long wakeUps = 0;
+        Map<String, Thread> threads = new TreeMap<>();
         try (DirectoryStream<Path> tasks = Files.newDirectoryStream(proc.resolve("task"))) {
             for (Path task : tasks) {
                 try {
                     String name = Files.readString(task.resolve("comm")).strip();
                     String[] times = Files.readString(task.resolve("schedstat")).split(" ");
-                    nanos.merge(KINDS.getOrDefault(name, "others"), Long.parseLong(times[0]), Long::sum);
-                    wakeUps += figure(Files.readString(task.resolve("status")), "voluntary_ctxt_switches:");
+                    threads.put(task.getFileName().toString(), new Thread(KINDS.getOrDefault(name, "others"),
+                            Long.parseLong(times[0]),
+                            figure(Files.readString(task.resolve("status")), "voluntary_ctxt_switches:")));
                 } catch (IOException e) {
                     // guards against a thread that has ended since the folder was read
                 }
             }
         }
         String status = Files.readString(proc.resolve("status"));
-        return new ProcessUse(Long.parseLong(fields[11]) + Long.parseLong(fields[12]), nanos, wakeUps,
+        return new ProcessUse(Long.parseLong(fields[11]) + Long.parseLong(fields[12]), threads,
                 figure(status, "VmRSS:") * 1024, figure(status, "VmHWM:") * 1024);
     }
 
@@ -60,14 +63,25 @@
         return (cpuTicks - since.cpuTicks) / TICKS_PER_S / seconds * 100;
     }
 
-    /** The same by kind of thread. */
+    /** The same by kind of thread, of those that live. */
     Map<String, Double> corePercentByThread(ProcessUse since, double seconds) {
         Map<String, Double> all = new TreeMap<>();
-        nanosByThread.forEach((kind, nanos) -> all.put(kind,
-                (nanos - since.nanosByThread.getOrDefault(kind, 0L)) / 1e9 / seconds * 100));
+        threads.forEach((id, t) -> all.merge(t.kind, (t.nanos - since.threads.getOrDefault(id, NONE).nanos)
+                / 1e9 / seconds * 100, Double::sum));
         return all;
     }
 
+    /** How often the threads that live went to sleep by themselves since then. */
+    long wakeUps(ProcessUse since) {
+        return threads.entrySet().stream().mapToLong(t -> t.getValue().sleeps
+                - since.threads.getOrDefault(t.getKey(), NONE).sleeps).sum();
+    }
+
+    /** Processor time since the start of the process, in seconds. */
+    double cpuSeconds() {
+        return cpuTicks / TICKS_PER_S;
+    }
+
     double residentMb() {
         return resident / MB;
     }
--- a/src/test/java/saffronferry/lifecycle/ConfigTest.java
+++ b/src/test/java/saffronferry/lifecycle/ConfigTest.java
@@ -24,7 +24,7 @@
     public void theExampleIsRead() throws IOException {
         Config c = new Config(example(), HERE);
         assertEquals("127.0.0.1:9000", c.listen.toString());
-        assertEquals(2, c.known.entries().size());
+        assertEquals(2, c.takeKnown().entries().size());
         assertEquals(2_000_000, c.settings.settings.maxRetryAfter());
     }
 
@@ -77,6 +77,31 @@
         }
     }
 
+    /** As a file the known list is read apart from the rest, with the same result and the same words. */
+    @Test
+    public void theKnownListOfAFileIsReadAndItsFaultIsNamed() throws IOException {
+        Path file = Files.createTempFile("config", ".json");
+        Map<String, String> environment = Map.of("BALANCER_CONFIG", file.toString());
+        try {
+            Files.writeString(file, example().toString());
+            Config c = Config.read(environment);
+            assertEquals(new Config(example(), HERE).takeKnown(), c.takeKnown());
+            assertNull("held once", c.takeKnown());
+            for (String bad : new String[] {"{}", "7", "{\"revision\":1,\"complete\":true,\"members\":{}}"}) {
+                JSONObject json = example().put("known", new org.json.JSONTokener(bad).nextValue());
+                Files.writeString(file, json.toString());
+                Exception e = assertThrows(bad, IllegalArgumentException.class, () -> Config.read(environment));
+                assertTrue(e.getMessage(), e.getMessage().startsWith("configuration key known: "));
+            }
+            String whole = example().toString();
+            Files.writeString(file, whole.substring(0, whole.length() - 1));
+            Exception e = assertThrows(IllegalArgumentException.class, () -> Config.read(environment));
+            assertTrue(e.getMessage(), e.getMessage().startsWith("BALANCER_CONFIG: not valid JSON"));
+        } finally {
+            Files.delete(file);
+        }
+    }
+
     @Test
     public void theFileItselfIsNamed() {
         for (Map<String, String> environment : new Map[] {Map.of(), Map.of("BALANCER_CONFIG", "/none"),
--- a/src/test/java/saffronferry/wire/ParsersTest.java
+++ b/src/test/java/saffronferry/wire/ParsersTest.java
@@ -4,8 +4,10 @@
 import static org.junit.Assert.assertNull;
 import static org.junit.Assert.assertThrows;
 import static org.junit.Assert.assertTrue;
+import static org.junit.Assert.fail;
 
 import io.vertx.core.buffer.Buffer;
+import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +18,8 @@
 import saffronferry.Contract.JobClass;
 import saffronferry.Contract.Outcome;
 import saffronferry.Contract.Report;
+import saffronferry.Contract.WorkerInfo;
+import saffronferry.Contract.WorkerState;
 import saffronferry.log.BoundedLog;
 import saffronferry.state.AttemptProbe;
 import saffronferry.state.ListUpdate;
@@ -143,7 +147,11 @@
         assertEquals(5000, u.entries().get(0).info().startedAt());
         assertEquals("127.0.0.1:9", u.entries().get(0).address());
         for (String bad : new String[] {"", "[]", "{}", "{\"revision\":4,\"complete\":true}",
-            "{\"revision\":4,\"complete\":true,\"members\":{}}", "{\"complete\":true,\"members\":[]}"}) {
+            "{\"revision\":4,\"complete\":true,\"members\":{}}", "{\"complete\":true,\"members\":[]}",
+            "{\"revision\":4,\"complete\":true,\"members\":[" + entry + "]", "{\"revision\":4,\"revision\":5,"
+            + "\"complete\":true,\"members\":[]}", "{\"revision\":null,\"complete\":true,\"members\":[]}",
+            "{\"revision\":4,\"complete\":1,\"members\":[]}", "{\"revision\":4,\"complete\":true,\"members\":["
+            + entry.replace("\"cell\":3", "\"id\":\"s\"") + "]}"}) {
             assertThrows(bad, IllegalArgumentException.class, () -> lists.parse(bad, left::add));
         }
         assertEquals(List.of(), left);
@@ -156,7 +164,8 @@
         String entry = "{\"id\":\"s\",\"host_port\":\"127.0.0.1:9\",\"locality\":\"a\",\"flavor\":\"m1\",\"cell\":3,"
                 + "\"phase\":\"SERVING\",\"size\":1.0,\"up_since_ms\":5}";
         for (String bad : new String[] {"{}", "7", "null", entry.replace("SERVING", "ASLEEP"), entry.replace(":9", ":x"),
-            entry.replace("\"id\"", "\"di\"")}) {
+            entry.replace("\"id\"", "\"di\""), entry.replace("\"s\"", "[1,{}]"), "[" + entry + "]",
+            entry.replace("\"SERVING\"", "{\"phase\":\"SERVING\"}"), entry.replace("\"127.0.0.1:9\"", "null")}) {
             List<String> left = new ArrayList<>();
             ListUpdate u = lists.parse("{\"revision\":4,\"complete\":true,\"members\":[" + bad + "," + entry + "]}",
                     left::add);
@@ -166,6 +175,49 @@
         }
     }
 
+    /** What an entry has beyond what is read, or has otherwise than usual, costs nothing. */
+    @Test
+    public void entriesOfAnotherVersionAreRead() {
+        ListParser lists = new ListParser(List.of("m1"), List.of("a"));
+        ListUpdate u = lists.parse("{\"news\":{\"members\":[]},\"members\":[{\"id\":\"s\",\"phase\":\"DELETED\","
+                + "\"tags\":{\"id\":\"x\",\"phase\":[1]},\"flavor\":null,\"locality\":{},\"cell\":\"7\"}],"
+                + "\"complete\":false,\"revision\":9}", bad -> fail(bad));
+        assertEquals(new ListUpdate(9, false, List.of(new ListUpdate.Entry(
+                new WorkerInfo("s", WorkerState.GONE, -1, -1, 0, 7), ""))), u);
+    }
+
+    /** Of a list that is as long as a fleet's, no tree is made: allocation is the same on any machine. */
+    @Test
+    public void aLongListTakesLittleMoreMemoryThanItsText() {
+        StringBuilder text = new StringBuilder("{\"revision\":4,\"complete\":true,\"members\":[");
+        for (int i = 0; i < 2_000; i++) {
+            text.append(i == 0 ? "" : ",").append("{\"id\":\"w").append(i).append("\",\"host_port\":\"127.0.0.1:9\",")
+                    .append("\"locality\":\"a\",\"flavor\":\"m1\",\"cell\":3,\"phase\":\"SERVING\",\"size\":1.0,")
+                    .append("\"up_since_ms\":0}");
+        }
+        String list = text.append("]}").toString();
+        ListParser lists = new ListParser(List.of("m1"), List.of("a"));
+        lists.parse(list, bad -> fail(bad)); // loads classes
+        com.sun.management.ThreadMXBean threads = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long before = threads.getCurrentThreadAllocatedBytes();
+        assertEquals(2_000, lists.parse(list, bad -> fail(bad)).entries().size());
+        long each = (threads.getCurrentThreadAllocatedBytes() - before) / 2_000;
+        assertTrue(each + " bytes an entry; as a tree 2,500", each < 1_200);
+    }
+
+    @Test
+    public void anObjectIsFoundInATextWithoutReadingIt() {
+        String[][] cases = {
+            {"{\"x\":1}", "{\"a\":[{\"known\":{}}],\"known\" : {\"x\":1} ,\"b\":2}"},
+            {"{}", "{\"known\":{}}"}, {null, "{\"known\":null}"}, {null, "{\"known\":7}"}, {null, "{\"a\":{\"known\":{}}}"},
+            {null, ""}, {null, "[]"}, {null, "{\"known\":{"}, {null, "project"}, {"{\"x\":\"}\"}", "{\"known\":{\"x\":\"}\"}}"},
+        };
+        for (String[] c : cases) {
+            int[] at = ListParser.find(c[1], "known");
+            assertEquals(c[1], c[0], at == null ? null : c[1].substring(at[0], at[1]));
+        }
+    }
+
     @Test
     public void linesHoweverTheChunksFall() {
         List<String> got = new ArrayList<>();
