The rig measures each process of a fleet that is started as a deployment does

Need: hollow figures of a dispatcher have to be tied to real ones, process by process, and so have the console's own.

Change: `rig processes FILE.toml` plays a scenario with the deployment's run line and a console for each dispatcher; FleetUse looks at each process and its console twice and divides what lies between by the time. Ruled out: one look at the end, in which the start's processor time outweighs the rest; figures of the fleet alone, which hide the worst one.

--- a/src/main/java/saffronferry/cli/RigCommand.java
+++ b/src/main/java/saffronferry/cli/RigCommand.java
@@ -17,6 +17,7 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import saffronferry.lab.scenario.Scenario;
+import saffronferry.rig.FleetUse;
 import saffronferry.rig.IdleDispatcher;
 import saffronferry.rig.Rig;
 
@@ -103,6 +104,48 @@
         return held ? 0 : Main.BROKEN;
     }
 
+    @Command(name = "processes", description = "Plays a scenario with dispatchers started as a "
+            + "deployment does, and measures each; 3 where a rule, a bound or a stated limit was broken.")
+    int processes(@Parameters(paramLabel = "SCENARIO.toml") Path file,
+            @Option(names = "--settle", defaultValue = "20",
+            description = "seconds of the day before the first look (${DEFAULT-VALUE})") double settle,
+            @Option(names = "--seed", defaultValue = "1", description = "(${DEFAULT-VALUE})") long seed,
+            @Option(names = "--deploy", defaultValue = "deploy/balancer.toml", paramLabel = "FILE",
+            description = "whose key run starts the dispatchers (${DEFAULT-VALUE})") Path deploy,
+            @Option(names = "--most-core-percent", description = "a limit for each") Double mostCore,
+            @Option(names = "--most-resident-mb", description = "a limit for each") Double mostResident,
+            @Option(names = "--set", paramLabel = "KEY=VALUE",
+            description = "a key as lab explain prints it, with another value") List<String> set,
+            @Option(names = "--out", paramLabel = "FILE", description = "where the JSON result goes")
+            Path out,
+            @Option(names = "--logs", paramLabel = "DIR", description = "where the dispatchers' logs go")
+            Path logs) throws IOException, InterruptedException {
+        Scenario scenario = LabCommand.read(file, set);
+        if (settle * 1e6 >= scenario.length()) {
+            throw new IllegalArgumentException("--settle: is not before the end of the day, "
+                    + scenario.length() / 1e6 + " s: " + settle);
+        }
+        JSONObject seen = Rig.play(scenario, seed, logs, new Rig.Measured(run(deploy), settle));
+        JSONObject figures = FleetUse.summary(seen.getJSONArray("processes"));
+        for (String name : List.of("requests", "served", "refused", "failed", "datagrams", "rules_broken")) {
+            figures.put(name, seen.getInt(name));
+        }
+        if (out != null) {
+            JSONObject play = new JSONObject().put("dispatchers", scenario.dispatchers())
+                    .put("workers", scenario.workers()).put("zones", scenario.zones().size())
+                    .put("settled_s", settle).put("seconds", scenario.length() / 1e6 - settle)
+                    .put("figures", figures).put("processes", seen.getJSONArray("processes"));
+            Files.writeString(out, new JSONObject().put("scenario", scenario.name()).put("seed", seed)
+                    .put("plays", new JSONArray().put(play)).toString(1) + "\n");
+        }
+        figures.keySet().stream().sorted().forEach(name -> out().printf(Locale.ROOT, "%-40s %12.3f%n", name,
+                figures.getDouble(name)));
+        breach(seen);
+        return seen.getBoolean("held")
+                & within(scenario.workers(), figures, "core_percent_most", mostCore)
+                & within(scenario.workers(), figures, "resident_mb_most", mostResident) ? 0 : Main.BROKEN;
+    }
+
     private boolean within(int workers, JSONObject figures, String figure, Double most) {
         boolean held = most == null || figures.getDouble(figure) <= most;
         if (!held) {
--- a/src/main/java/saffronferry/rig/DispatcherProcess.java
+++ b/src/main/java/saffronferry/rig/DispatcherProcess.java
@@ -27,6 +27,8 @@
     final String host;
     final int port;
     final int peerPort;
+    /** 0: operators cannot call it. */
+    final int consolePort;
     private final Path folder;
     /** How a deployment starts it, for the shell; null: the program that this one is part of. */
     private final String run;
@@ -35,16 +37,18 @@
     private boolean stopped;
 
     DispatcherProcess(int number, String host, int port, int peerPort, Path folder) {
-        this(number, host, port, peerPort, folder, null);
+        this(number, host, port, peerPort, 0, folder, null);
     }
 
     /** {@code run}: a deployment's line that ends in one process, as deploy/balancer.toml has it. */
-    DispatcherProcess(int number, String host, int port, int peerPort, Path folder, String run) {
+    DispatcherProcess(int number, String host, int port, int peerPort, int consolePort, Path folder,
+            String run) {
         this.run = run;
         this.number = number;
         this.host = host;
         this.port = port;
         this.peerPort = peerPort;
+        this.consolePort = consolePort;
         this.folder = folder;
     }
 
--- a/src/main/java/saffronferry/rig/IdleDispatcher.java
+++ b/src/main/java/saffronferry/rig/IdleDispatcher.java
@@ -53,7 +53,6 @@
     private final StandInDiscovery discovery;
     private final StandInWorker worker;
     private final HttpClient client;
-    private final int consolePort;
     private final List<JSONObject> listed = new ArrayList<>();
     private JSONObject leaving;
     private double startSeconds;
@@ -64,9 +63,8 @@
         this.scenario = scenario;
         this.options = options;
         random = new SplittableRandom(seed);
-        dispatcher = new DispatcherProcess(0, host, Rig.freePort(host), Rig.freePort(host), folder,
-                options.run());
-        consolePort = Rig.freePort(host);
+        dispatcher = new DispatcherProcess(0, host, Rig.freePort(host), Rig.freePort(host),
+                Rig.freePort(host), folder, options.run());
         discovery = new StandInDiscovery(vertx, 0, (d, update) -> { });
         worker = new StandInWorker(vertx, IdleDispatcher::now, new StandInWorker.Watcher() {
             @Override
@@ -166,7 +164,7 @@
 
     /** The dispatcher's own figures of its control, as its console tells them. */
     private Map<String, Object> console() throws IOException, InterruptedException {
-        String text = await(client.request(HttpMethod.GET, consolePort, host, "/ops/stats")
+        String text = await(client.request(HttpMethod.GET, dispatcher.consolePort, host, "/ops/stats")
                 .compose(q -> q.send()).compose(a -> a.body())).toString();
         return ControlFigures.of(text);
     }
@@ -178,7 +176,7 @@
     private JSONObject config() throws IOException, InterruptedException {
         JSONObject whole = onLoop(discovery::whole);
         return new JSONObject().put("name", "idle").put("listen", host + ":" + dispatcher.port)
-                .put("console", host + ":" + consolePort).put("discovery", discovery.address(host))
+                .put("console", host + ":" + dispatcher.consolePort).put("discovery", discovery.address(host))
                 .put("seed", Long.toHexString(random.nextLong()))
                 .put("limits", new JSONObject(Map.of("cores", 1.0, "memory_mb", 192, "sockets", 1024)))
                 .put("peer_listen", host + ":" + dispatcher.peerPort)
--- a/src/main/java/saffronferry/rig/Rig.java
+++ b/src/main/java/saffronferry/rig/Rig.java
@@ -56,12 +56,24 @@
     private final Front front;
     private final HttpClient prober;
     private final long epoch = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
+    private final Measured measured; // null: nothing is
+    private final FleetUse use;
     private final double capacity;
+    private JSONArray processes;
     private int successors;
     private boolean closed;
 
-    private Rig(Scenario scenario, long seed) throws IOException {
+    /**
+     * What is measured beside the day.
+     *
+     * @param run a deployment's line that starts a dispatcher; null: the program that this one is part of
+     * @param settle seconds from the start of the day to the first look
+     */
+    public record Measured(String run, double settle) { }
+
+    private Rig(Scenario scenario, long seed, Measured measured) throws IOException {
         this.scenario = scenario;
+        this.measured = measured;
         random = new SplittableRandom(seed);
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1));
@@ -74,7 +86,10 @@
         for (int i = 0; i < scenario.dispatchers(); i++) {
             String host = block + (i + 1);
             Path own = Files.createDirectory(folder.resolve("dispatcher-" + i));
-            dispatchers.add(new DispatcherProcess(i, host, freePort(host), freePort(host), own));
+            dispatchers.add(measured == null
+                    ? new DispatcherProcess(i, host, freePort(host), freePort(host), own)
+                    : new DispatcherProcess(i, host, freePort(host), freePort(host), freePort(host), own,
+                    measured.run()));
             discoveries.add(new StandInDiscovery(vertx, i, judge));
         }
         makeWorkers();
@@ -82,6 +97,7 @@
         front = new Front(vertx, scenario, dispatchers, judge, this::now,
                 capacity * scenario.load().share() / (scenario.meanWork() / 1e6), random.split());
         prober = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false).setConnectTimeout(1_000));
+        use = new FleetUse(dispatchers, prober);
     }
 
     /** Microseconds since 1970, from a clock that never goes back. */
@@ -159,7 +175,13 @@
      */
     public static JSONObject play(Scenario scenario, long seed, Path keepLogs)
             throws IOException, InterruptedException {
-        Rig rig = new Rig(scenario.drawn(seed), seed);
+        return play(scenario, seed, keepLogs, null);
+    }
+
+    /** The same; where something is measured {@code processes} has what each dispatcher spent. */
+    public static JSONObject play(Scenario scenario, long seed, Path keepLogs, Measured measured)
+            throws IOException, InterruptedException {
+        Rig rig = new Rig(scenario.drawn(seed), seed, measured);
         Thread hook = new Thread(rig::closeQuietly);
         Runtime.getRuntime().addShutdownHook(hook);
         try {
@@ -233,7 +255,11 @@
         for (DispatcherProcess other : dispatchers) {
             peers.put(other == d ? d.host + ":" + d.peerPort : relay.address(other.number, d.number, side()));
         }
-        return new JSONObject().put("name", "n" + d.number).put("listen", d.host + ":" + d.port)
+        JSONObject config = new JSONObject();
+        if (d.consolePort > 0) {
+            config.put("console", d.host + ":" + d.consolePort);
+        }
+        return config.put("name", "n" + d.number).put("listen", d.host + ":" + d.port)
                 .put("discovery", discoveries.get(d.number).address(side()))
                 .put("seed", Long.toHexString(random.nextLong()))
                 .put("limits", new JSONObject(Map.of("cores", 1.0, "memory_mb", 192, "sockets", 1024)))
@@ -257,13 +283,21 @@
         relay.trouble(new PeerLinks(scenario, start));
         new Faults(this, front).plan();
         front.load(start + scenario.length());
+        if (measured != null) {
+            vertx.setTimer(Math.max(1, Math.round(measured.settle() * 1000)), t ->
+                    use.begin().onFailure(over::tryFail));
+            vertx.setTimer(scenario.length() / 1000, t -> use.end().onSuccess(each -> processes = each)
+                    .onFailure(over::tryFail));
+        }
         vertx.setPeriodic(LOOK_MS, t -> {
             judge.look(now());
-            if (now() > start + scenario.length() && judge.unanswered() == 0) {
+            if (now() > start + scenario.length() && judge.unanswered() == 0
+                    && (measured == null || processes != null)) {
                 vertx.cancelTimer(t);
-                over.complete(judge.verdict().put("dispatchers", dispatchers.size())
+                over.tryComplete(judge.verdict().put("dispatchers", dispatchers.size())
                         .put("workers", scenario.workers()).put("datagrams", relay.datagrams)
-                        .put("datagram_bytes", relay.bytes).put("datagrams_too_long", relay.tooLong));
+                        .put("datagram_bytes", relay.bytes).put("datagrams_too_long", relay.tooLong)
+                        .putOpt("processes", processes));
             }
         });
     }
--- a/src/main/java/saffronferry/wire/ListParser.java
+++ b/src/main/java/saffronferry/wire/ListParser.java
@@ -13,8 +13,8 @@
 import saffronferry.state.ListUpdate;
 
 /**
- * Reads discovery's lists, one JSON object each, token by token: as a tree the list of a large fleet takes ten
- * times the memory of its text, more than all else that a dispatcher holds.
+ * Reads discovery's lists, one JSON object each, token by token: as a tree the list of a large fleet takes
+ * many times the memory of its text, more than all else that a dispatcher holds.
  */
 public final class ListParser {
     private static final JsonFactory JSON = JsonFactory.builder()
@@ -159,8 +159,8 @@
         if (state != WorkerState.GONE) {
             Address.parse(address);
         }
-        return new ListUpdate.Entry(new WorkerInfo(there(id, "id"), state, kind, zone, startedMs * 1000, cell),
-                address);
+        return new ListUpdate.Entry(
+                new WorkerInfo(there(id, "id"), state, kind, zone, startedMs * 1000, cell), address);
     }
 
     /** Null where it is none. */
--- a/src/test/java/saffronferry/cli/MainTest.java
+++ b/src/test/java/saffronferry/cli/MainTest.java
@@ -28,6 +28,7 @@
             {2, "lab sweep examples/lab/alumni-hosting.toml --set load.share=much"},
             {2, "rig idle"}, {2, "rig idle " + bad}, {2, "rig idle examples/rig/idle.toml --workers many"},
             {2, "rig idle examples/rig/idle.toml --deploy " + bad},
+            {2, "rig processes examples/rig/processes.toml --settle 80"},
             {1, "rig idle examples/rig/idle.toml --deploy " + dir.resolve("none.toml")},
         };
         for (Object[] c : cases) {
--- /dev/null
+++ b/src/test/java/saffronferry/rig/FleetUseTest.java
@@ -0,0 +1,44 @@
+package saffronferry.rig;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import org.json.JSONArray;
+import org.json.JSONObject;
+import org.junit.Test;
+import saffronferry.lab.scenario.ScenarioReader;
+
+/** What each process of a small fleet under light load is seen to spend. */
+public class FleetUseTest {
+    @Test
+    public void eachProcessIsMeasuredBetweenTwoLooks() throws Exception {
+        long before = ProcessHandle.current().children().count();
+        JSONObject seen = Rig.play(ScenarioReader.parse("small.toml", """
+                length_s = 4
+                [fleet]
+                zones = ["a"]
+                workers = 4
+                dispatchers = 2
+                [load]
+                share = 0.3
+                """), 1, null, new Rig.Measured(null, 1));
+        assertEquals(before, ProcessHandle.current().children().count());
+        assertTrue(seen.toString(), seen.getInt("served") > 5);
+        JSONArray each = seen.getJSONArray("processes");
+        assertEquals(2, each.length());
+        for (int i = 0; i < 2; i++) {
+            JSONObject p = each.getJSONObject(i);
+            assertEquals(i, p.getInt("dispatcher"));
+            assertTrue(p.toString(), p.getDouble("seconds") > 2 && p.getDouble("core_percent") > 0
+                    && p.getDouble("resident_mb") > 20 && p.getDouble("wake_ups_per_s") > 1);
+            assertTrue("they speak with each other: " + p, p.getDouble("bytes_per_s_datagrams_in") > 0
+                    && p.getDouble("bytes_per_s_datagrams_out") > 0);
+            assertTrue("discovery says that it is there: " + p, p.getDouble("bytes_per_s_lists_in") > 0);
+            assertTrue("what is no count is no rate: " + p, !p.has("bytes_per_s_per_second"));
+        }
+        JSONObject sum = FleetUse.summary(new JSONArray("[{\"dispatcher\":0,\"x\":1},{\"dispatcher\":1,\"x\":4}]"));
+        assertEquals(2.5, sum.getDouble("x_mean"), 1e-9);
+        assertEquals(4, sum.getDouble("x_most"), 1e-9);
+        assertEquals(2, sum.length());
+    }
+}
