--- a/src/test/java/saffronferry/wire/ParsersTest.java
+++ b/src/test/java/saffronferry/wire/ParsersTest.java
@@ -8,7 +8,9 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -230,6 +232,29 @@
         assertThrows(IllegalArgumentException.class, () -> lines.feed(Buffer.buffer("far too long")));
     }
 
+    /** The same lines come of the same bytes wherever they are cut, signs of several bytes too. */
+    @Test
+    public void anyCutGivesTheSameLines() {
+        String text = "eins\n\n zw\u00f6lf \r\n" + "\u20ac".repeat(30_000) + "\nlast";
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        List<String> whole = List.of("eins", "", "zw\u00f6lf", "\u20ac".repeat(30_000), "last");
+        for (int size : new int[] {1, 2, 3, 7, 100, 8_192, 70_000, bytes.length}) {
+            List<String> got = new ArrayList<>();
+            Lines lines = new Lines(100_000, got::add);
+            for (int i = 0; i < bytes.length; i += size) {
+                lines.feed(Buffer.buffer(Arrays.copyOfRange(bytes, i, Math.min(bytes.length, i + size))));
+            }
+            lines.end();
+            assertEquals("cut each " + size, whole, got);
+        }
+        List<String> got = new ArrayList<>();
+        Lines bounded = new Lines(10, got::add);
+        bounded.feed(Buffer.buffer("1234567890"));
+        bounded.feed(Buffer.buffer("\n123456789"));
+        assertThrows(IllegalArgumentException.class, () -> bounded.feed(Buffer.buffer("01")));
+        assertEquals(List.of("1234567890"), got);
+    }
+
     /** A worker is blamed for a connection that never came up only where it was not our own want. */
     @Test
     public void connectionsThatNeverCameUp() {
