Every worker of a long list can be named by operators

Cause: ResolverResult.remember kept the last 4,096 ids it had seen, those on the list included, and knows() looked there alone: of 21,000 workers the console answered 404 for 16,904, and none of them could be taken out.

Change: what is on the list needs no remembering; the bound is for ids that have left it, by a change or by a whole list. Ruled out: a longer memory, which grows with each release.

Test: each of 21,000 can be named (w0 could not before the change: the test failed there), what has left is remembered, and not for ever.

--- a/src/main/java/saffronferry/state/ResolverResult.java
+++ b/src/main/java/saffronferry/state/ResolverResult.java
@@ -18,37 +18,46 @@
 final class ResolverResult {
     /**
      * Ids are remembered beyond their time on the list, for operators know a worker that the list has lost.
+     * So many, whatever the length of the list: those that are on it need no remembering.
      */
-    private static final int MOST_SEEN = 4096;
+    private static final int MOST_LOST = 4096;
 
     private final Map<String, ListUpdate.Entry> entries = new HashMap<>();
-    private final Set<String> seen = new LinkedHashSet<>();
+    /** Ids that were on the list, those lost first at the beginning. */
+    private final Set<String> lost = new LinkedHashSet<>();
     private Bans bans = Bans.NONE;
     private long revision;
 
     /** Takes news of the list in; the result is what the balancer is to see of it. */
     List<WorkerInfo> take(ListUpdate update) {
+        Set<String> before = Set.of();
         if (update.complete()) {
+            before = new LinkedHashSet<>(entries.keySet());
             entries.clear();
         }
         List<WorkerInfo> shown = new ArrayList<>(update.entries().size());
         for (ListUpdate.Entry e : update.entries()) {
             String id = e.info().address();
-            if (e.info().state() == WorkerState.GONE) {
-                entries.remove(id);
-            } else {
+            if (e.info().state() != WorkerState.GONE) {
                 entries.put(id, e);
+                lost.remove(id);
+            } else if (entries.remove(id) != null) {
                 remember(id);
             }
             shown.add(shown(e.info()));
         }
+        for (String id : before) {
+            if (!entries.containsKey(id)) {
+                remember(id);
+            }
+        }
         revision = update.revision();
         return shown;
     }
 
     private void remember(String id) {
-        if (seen.add(id) && seen.size() > MOST_SEEN) {
-            seen.remove(seen.iterator().next());
+        if (lost.add(id) && lost.size() > MOST_LOST) {
+            lost.remove(lost.iterator().next());
         }
     }
 
@@ -81,7 +90,7 @@
 
     /** Whether anybody has, or had, a subchannel of this id. */
     boolean knows(String subchannel) {
-        return seen.contains(subchannel) || bans.has(subchannel);
+        return entries.containsKey(subchannel) || lost.contains(subchannel) || bans.has(subchannel);
     }
 
     int size() {
--- /dev/null
+++ b/src/test/java/saffronferry/state/ResolverResultTest.java
@@ -0,0 +1,59 @@
+package saffronferry.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import saffronferry.Contract.WorkerInfo;
+import saffronferry.Contract.WorkerState;
+import saffronferry.ops.Bans;
+
+/** The list held, at the size of a large fleet: whom operators may name, and what bans change. */
+class ResolverResultTest {
+    private static final int MANY = 21_000;
+
+    private static ListUpdate.Entry entry(String id, WorkerState state) {
+        return new ListUpdate.Entry(new WorkerInfo(id, state, 0, 0, 0, 0), "127.0.0.1:9");
+    }
+
+    private static ListUpdate whole(long revision, int from, int to) {
+        return new ListUpdate(revision, true, IntStream.range(from, to)
+                .mapToObj(i -> entry("w" + i, WorkerState.IN_SERVICE)).toList());
+    }
+
+    @Test
+    void eachWorkerOfALongListCanBeNamed() {
+        ResolverResult result = new ResolverResult();
+        result.take(whole(1, 0, MANY));
+        for (int i = 0; i < MANY; i++) {
+            assertTrue(result.knows("w" + i), "w" + i);
+        }
+        assertFalse(result.knows("w" + MANY));
+        assertEquals(1, result.ban(Bans.NONE.with("w0"), 5).size());
+        assertEquals(1, result.banned());
+    }
+
+    /** Operators know a worker that the list has lost, by a whole list, by a change, or never had in service. */
+    @Test
+    void whatHasLeftIsRememberedAndNotForEver() {
+        ResolverResult result = new ResolverResult();
+        result.take(whole(1, 0, 10));
+        result.take(whole(2, 2, 10));
+        result.take(new ListUpdate(3, false, List.of(entry("w2", WorkerState.GONE),
+                entry("d", WorkerState.DRAINING))));
+        for (String id : List.of("w0", "w1", "w2", "w9", "d")) {
+            assertTrue(result.knows(id), id);
+        }
+        assertFalse(result.knows("x"));
+        assertEquals(8, result.size());
+        result.take(new ListUpdate(4, false, List.of(entry("w0", WorkerState.IN_SERVICE))));
+        for (int round = 0; round < 10; round++) { // releases, each with new names
+            result.take(whole(5 + round, 1_000 * (round + 1), 1_000 * (round + 2)));
+        }
+        assertTrue(result.knows("w10999") && result.knows("w9999"), "the last one, and the one before");
+        assertFalse(result.knows("w0") || result.knows("w1"), "memory is bounded");
+    }
+}
