Cold workers have an index: no pick, tick or exchange walks the list for them

Ruled out: the draw itself (four samples). Fleet now keeps the cold ones, those of the zone and our own, in the order of the ring, so that they are met in the order of before.

Fleet is told its zone once, so FleetTest makes it with three numbers.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -75,7 +75,7 @@
         s = settings;
         out = actions;
         random = new SplittableRandom(settings.seed());
-        fleet = new Fleet(settings.zones(), settings.kinds());
+        fleet = new Fleet(settings.zones(), settings.kinds(), settings.zone());
         heardIn = new long[settings.zones()];
         queues = new HeldQueue[settings.classes().size()][];
         for (int c = 0; c < queues.length; c++) {
@@ -164,8 +164,8 @@
         Worker best = null;
         double bestScore = 0;
         // danger: deaf ones take all warm workers for free; a cold one, seldom asked, would stay idle
-        for (Worker w : fleet.ours) {
-            if (w.coldSince != 0 && w.openAt >= 0 && w.cold.small() && usable(j, w)) { return w; }
+        for (Worker w : fleet.coldOurs) {
+            if (w.openAt >= 0 && w.cold.small() && usable(j, w)) { return w; }
         }
         for (int k = 0; k < fleet.groups(); k++) {
             int n = j.spec.kind() < 0 || j.spec.kind() == k ? fleet.openIn(k) : 0;
@@ -417,7 +417,7 @@
 
     /** The next so many peers of our zone, before others those that have cold workers' budgets to lend. */
     private void tellZone(int most, Message m) {
-        int[] first = fleet.guardians(s.zone(), shares, coldHere ? Math.max(most - 1, LEAST_FAN) : 0, ticks);
+        int[] first = fleet.guardians(shares, coldHere ? Math.max(most - 1, LEAST_FAN) : 0, ticks);
         for (int guardian : first) { tell(guardian, m); }
         int fan = Math.max(Math.min(LEAST_FAN, most), most - first.length);
         for (int i = 0; i < peers.length && fan > 0; i++) {
@@ -463,8 +463,8 @@
     /** Parts of what cold workers of ours can take, for one that asks; spent before they are told. */
     private Message lend(Peer y, Message m) {
         double part = Peer.whole(known.longest());
-        for (Worker w : y.mayLend(m, now, s.zone()) ? fleet.ours : new Worker[0]) {
-            if (w.coldSince != 0 && w.openAt >= 0 && coldCovers(w, part, true)) { y.lend(w, part, m, now); }
+        for (Worker w : y.mayLend(m, now, s.zone()) ? fleet.coldOurs : List.<Worker>of()) {
+            if (w.openAt >= 0 && coldCovers(w, part, true)) { y.lend(w, part, m, now); }
         }
         return m;
     }
@@ -549,7 +549,7 @@
         zoneSlots = 0;
         // danger: who does not fill a worker would take it for cold for good, and use no slot offered there
         homesMark = fleet.warmUp(now - s.cold()) ? 0 : homesMark; // it goes from its guardian to its owner
-        coldHere = fleet.anyCold(s.zone());
+        coldHere = fleet.anyCold();
         for (Worker w : fleet.ring[s.zone()]) {
             zoneSlots += w.state == WorkerState.IN_SERVICE && !w.suspect ? slotsOf(w) : 0;
         }
@@ -797,8 +797,7 @@
     private double cost(Job j, Worker w) { return known.cost(j.request, kindIndex(w.kind)); }
 
     private void chill(long start, Worker w) {
-        w.coldSince = start;
-        w.cold.reset();
+        fleet.chill(w, start);
         coldHere = true;
         homesMark = 0;
     }
@@ -895,7 +894,7 @@
         }
         fleet.arrange();
         own();
-        fleet.gather(s.zone());
+        fleet.gather();
         for (Worker w : fleet.byAddress.values()) {
             for (int i = 0; w.others > 0 && i < peers.length; i++) {
                 // its process took the jobs with it, or who fills it now hears of them: nobody will tell us
@@ -941,7 +940,7 @@
 
     @Override public int avoided() { return fleet.avoided(); }
 
-    @Override public Sharing sharing() { return fleet.sharing(peers, shares, s.zone(), now); }
+    @Override public Sharing sharing() { return fleet.sharing(peers, shares, now); }
 
     // ---- another process of this dispatcher, to replace or to be replaced by ----
     @Override public Beside beside() { return new Beside(fleet.jobs(), known.told()); }
@@ -976,7 +975,7 @@
             learnHomes();
             learnShares();
         }
-        for (Worker w : fleet.ours) { if (w.coldSince != 0) { coldCovers(w, 0, heldSlots > 0); } }
+        for (Worker w : fleet.coldOurs) { coldCovers(w, 0, heldSlots > 0); }
         checkHealth();
         endLeaving();
         drain();
--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -4,8 +4,10 @@
 import java.util.Arrays;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 import saffronferry.Book.Peer;
 import saffronferry.Book.Worker;
 import saffronferry.Contract.WorkerState;
@@ -22,10 +24,17 @@
     final Worker[][] ring;
     /** Of these, the workers that this dispatcher owns. */
     Worker[] ours = new Worker[0];
+    /** Cold workers, and of these the ones of our zone, and of these our own; in the order of the ring. */
+    private final TreeSet<Worker> cold = new TreeSet<>(Fleet::byHash);
+    private final TreeSet<Worker> coldHere = new TreeSet<>(Fleet::byHash);
+    final TreeSet<Worker> coldOurs = new TreeSet<>(Fleet::byHash);
+    private final int zone;
     private final Worker[][] open;
     private final int[] count;
 
-    Fleet(int zones, int kinds) {
+    /** Workers of so many zones and kinds, as one of that zone looks them up. */
+    Fleet(int zones, int kinds, int zone) {
+        this.zone = zone;
         ring = new Worker[zones][0];
         open = new Worker[kinds + 1][8];
         count = new int[kinds + 1];
@@ -49,7 +58,7 @@
     }
 
     /** What is shared now of this zone's workers, and with whom. */
-    Sharing sharing(Peer[] peers, ColdShares shares, int zone, long now) {
+    Sharing sharing(Peer[] peers, ColdShares shares, long now) {
         int heard = 0;
         int counted = 0;
         long lent = 0;
@@ -63,35 +72,53 @@
             back += y.backInAll;
             borrowed += y.borrowedInAll;
         }
-        int cold = 0;
-        int guarded = 0;
+        int guarded = coldOurs.size();
         double part = 0;
-        for (Worker w : ring[zone]) {
-            cold += w.coldSince != 0 ? 1 : 0;
-            guarded += w.coldSince != 0 && w.ours ? 1 : 0;
-            part += w.coldSince != 0 && w.ours ? shares.part(now, w.hash, w.zone == zone) : 0;
+        for (Worker w : coldOurs) {
+            part += shares.part(now, w.hash, w.zone == zone);
+        }
+        return new Sharing(peers.length, heard, counted, coldHere.size(), guarded,
+                guarded == 0 ? 0 : part / guarded, lent, back, borrowed);
+    }
+
+    /** A worker has started anew then. */
+    void chill(Worker w, long start) {
+        w.coldSince = start;
+        w.cold.reset();
+        cold.add(w);
+        indexCold(w);
+    }
+
+    private void indexCold(Worker w) {
+        if (w.home == zone && w.state != WorkerState.GONE) {
+            coldHere.add(w);
+            if (w.ours) {
+                coldOurs.add(w);
+            }
         }
-        return new Sharing(peers.length, heard, counted, cold, guarded, guarded == 0 ? 0 : part / guarded,
-                lent, back, borrowed);
     }
 
     /** Takes workers that started before a time for warm; whether there was one. */
     boolean warmUp(long before) {
         boolean any = false;
-        for (Worker w : byAddress.values()) {
-            if (w.coldSince != 0 && w.coldSince <= before) {
+        for (Iterator<Worker> each = cold.iterator(); each.hasNext();) {
+            Worker w = each.next();
+            if (w.coldSince <= before) {
                 w.coldSince = 0;
+                each.remove();
+                coldHere.remove(w);
+                coldOurs.remove(w);
                 any = true;
             }
         }
         return any;
     }
 
-    /** Others who, as far as we hear, guard cold workers of the zone: so many at most, from a place on. */
-    int[] guardians(int zone, ColdShares shares, int most, long from) {
+    /** Others who, as far as we hear, guard cold workers of our zone: so many at most, from a place on. */
+    int[] guardians(ColdShares shares, int most, long from) {
         BitSet all = new BitSet();
-        for (Worker w : ring[zone]) {
-            if (w.coldSince != 0 && !shares.isSelf(shares.guardian(w.hash))) {
+        for (Worker w : coldHere) {
+            if (!shares.isSelf(shares.guardian(w.hash))) {
                 all.set(shares.guardian(w.hash));
             }
         }
@@ -104,14 +131,9 @@
         return some;
     }
 
-    /** Whether a worker of the zone is cold. */
-    boolean anyCold(int zone) {
-        for (Worker w : ring[zone]) {
-            if (w.coldSince != 0) {
-                return true;
-            }
-        }
-        return false;
+    /** Whether a worker of our zone is cold. */
+    boolean anyCold() {
+        return !coldHere.isEmpty();
     }
 
     /** Whether a worker of ours for that kind of job, -1 for any, may have a free slot. */
@@ -185,6 +207,7 @@
     private void forgetGone() {
         if (byAddress.size() > MANY) {
             byAddress.values().removeIf(w -> w.state == WorkerState.GONE && w.attempts.isEmpty());
+            cold.removeIf(w -> w.state == WorkerState.GONE && w.attempts.isEmpty());
         }
     }
 
@@ -206,8 +229,11 @@
     }
 
     /** Picks out the workers of our zone that are ours. */
-    void gather(int zone) {
+    void gather() {
         ours = Arrays.stream(ring[zone]).filter(w -> w.ours).toArray(Worker[]::new);
+        coldHere.clear();
+        coldOurs.clear();
+        cold.forEach(this::indexCold);
     }
 
     private static int byHash(Worker a, Worker b) {
--- a/src/test/java/saffronferry/FleetTest.java
+++ b/src/test/java/saffronferry/FleetTest.java
@@ -10,7 +10,7 @@
     /** Guards against memory that grows with every release of the workers. */
     @Test
     void afterManyReleasesTheGoneAreForgotten() {
-        Fleet fleet = new Fleet(1, 1);
+        Fleet fleet = new Fleet(1, 1, 0);
         for (int i = 0; i < 2000; i++) {
             Book.Worker w = new Book.Worker("w" + i, 0);
             w.state = i < 10 ? Contract.WorkerState.IN_SERVICE : Contract.WorkerState.GONE;
@@ -64,7 +64,7 @@
     }
 
     private static Fleet of(int workers) {
-        Fleet fleet = new Fleet(1, 1);
+        Fleet fleet = new Fleet(1, 1, 0);
         for (int i = 0; i < workers; i++) {
             Book.Worker w = new Book.Worker("10.0.0." + i, 0);
             w.home = 0;
