A tick looks for silence only at workers with jobs of ours and at suspects

Cause: checkHealth() walked an eighth of our own workers at each tick, though without a job of ours a worker's silence means nothing (Silence.nats is 0) and only suspects have trials. Fleet now keeps those watched in the order of the ring, and a tick takes those in the stretch it came to before: the same ones, at the same tick, in the same order. FleetTest compares it with the walk.

--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -63,6 +63,7 @@
         int takenThen;
         long takenAt;
         int openAt = -1;
+        boolean watched;
         final ArrayList<Attempt> attempts = new ArrayList<>(4);
 
         Worker(String address, int kind) {
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -349,7 +349,7 @@
         if (w.takenThen == 0 && taken > 0) { w.busySince = now; }
         w.takenThen = taken;
         w.takenAt = now;
-        fleet.setOpen(w, w.ours && w.state == WorkerState.IN_SERVICE && !w.suspect && free(w) >= 1);
+        fleet.place(w, w.ours && w.state == WorkerState.IN_SERVICE && !w.suspect && free(w) >= 1);
     }
 
     private void learn(Worker w, Report report) {
@@ -557,13 +557,12 @@
 
     // ---- health ----
     private void checkHealth() {
-        Worker[] zone = fleet.ours;
-        int step = Math.min(zone.length, 1 + zone.length / 8);
-        for (int i = 0; i < step; i++) {
-            Worker w = zone[Math.floorMod(checkTurn++, zone.length)];
+        int step = Math.min(fleet.ours.length, 1 + fleet.ours.length / 8);
+        for (Worker w : fleet.watched(checkTurn, step)) {
             if (w.suspect && w.attempts.isEmpty() && now >= w.trialAt) { clear(w, w.failedTrials); }
             if (!w.suspect && Silence.nats(w, now, known, s) > SUSPECT_NATS) { suspect(w); }
         }
+        checkTurn += step;
     }
 
     /** Danger: a hung worker takes jobs and holds its slots for ever. It leaves m; its jobs move. */
--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -28,6 +28,8 @@
     private final TreeSet<Worker> cold = new TreeSet<>(Fleet::byHash);
     private final TreeSet<Worker> coldHere = new TreeSet<>(Fleet::byHash);
     final TreeSet<Worker> coldOurs = new TreeSet<>(Fleet::byHash);
+    /** Our own that have jobs of ours or are suspect: silence means nothing at others. */
+    private final TreeSet<Worker> watched = new TreeSet<>(Fleet::byHash);
     private final int zone;
     private final Worker[][] open;
     private final int[] count;
@@ -176,7 +178,39 @@
         return open[group][at];
     }
 
-    void setOpen(Worker w, boolean can) {
+    /** Keeps a worker's places in step with what is known of it; whether it may have a free slot. */
+    void place(Worker w, boolean can) {
+        watch(w);
+        setOpen(w, can);
+    }
+
+    private void watch(Worker w) {
+        boolean watch = w.ours && (w.suspect || !w.attempts.isEmpty());
+        if (watch != w.watched) {
+            w.watched = watch;
+            if (watch) {
+                watched.add(w);
+            } else {
+                watched.remove(w);
+            }
+        }
+    }
+
+    /** Those watched among so many of our own, from a place on and round to the first. */
+    List<Worker> watched(int turn, int most) {
+        if (watched.isEmpty()) {
+            return List.of();
+        }
+        int from = Math.floorMod(turn, ours.length);
+        int to = Math.min(from + most, ours.length);
+        List<Worker> some = new ArrayList<>(watched.subSet(ours[from], true, ours[to - 1], true));
+        if (from + most > to) {
+            some.addAll(watched.headSet(ours[from + most - to - 1], true));
+        }
+        return some;
+    }
+
+    private void setOpen(Worker w, boolean can) {
         if (can == w.openAt >= 0) {
             return;
         }
@@ -234,6 +268,11 @@
         coldHere.clear();
         coldOurs.clear();
         cold.forEach(this::indexCold);
+        watched.forEach(w -> w.watched = false);
+        watched.clear();
+        for (Worker w : ours) {
+            watch(w);
+        }
     }
 
     private static int byHash(Worker a, Worker b) {
--- a/src/test/java/saffronferry/FleetTest.java
+++ b/src/test/java/saffronferry/FleetTest.java
@@ -1,8 +1,12 @@
 package saffronferry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import saffronferry.fleet.Sharing;
 
@@ -83,4 +87,48 @@
             assertEquals(w, fleet.find(0, w.hash));
         }
     }
+
+    /** As a walk over all of our own finds them, from any place on and round the end. */
+    @Test
+    void thoseWatchedAreMetInTheOrderOfTheRing() {
+        Fleet fleet = of(50);
+        fleet.gather();
+        SplittableRandom dice = new SplittableRandom(1);
+        for (int i = 0; i < 500; i++) {
+            Book.Worker changed = fleet.ours[dice.nextInt(50)];
+            changed.suspect = !changed.suspect;
+            fleet.place(changed, true);
+            int turn = dice.nextInt();
+            int most = 1 + dice.nextInt(50);
+            List<Book.Worker> walked = new ArrayList<>();
+            for (int k = 0; k < most; k++) {
+                Book.Worker w = fleet.ours[(Math.floorMod(turn, 50) + k) % 50];
+                if (w.suspect) {
+                    walked.add(w);
+                }
+            }
+            assertEquals(walked, fleet.watched(turn, most));
+        }
+    }
+
+    /** Guards against a worker that is gone and stands in the way of a new one at its address. */
+    @Test
+    void theGoneAreWatchedNoMore() {
+        Fleet fleet = of(1);
+        fleet.gather();
+        Book.Worker old = fleet.ours[0];
+        old.suspect = true;
+        fleet.place(old, false);
+        fleet.byAddress.remove(old.address);
+        Book.Worker young = new Book.Worker(old.address, 0);
+        young.home = 0;
+        young.ours = true;
+        young.state = Contract.WorkerState.IN_SERVICE;
+        young.suspect = true;
+        fleet.byAddress.put(young.address, young);
+        fleet.arrange();
+        fleet.gather();
+        assertEquals(1, fleet.watched(0, 1).size());
+        assertSame(young, fleet.watched(0, 1).get(0));
+    }
 }
