--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -63,7 +63,8 @@
         int takenThen;
         long takenAt;
         int openAt = -1;
-        boolean watched;
+        boolean watched;         // these two: as Fleet has it in its indexes
+        boolean counts;
         final ArrayList<Attempt> attempts = new ArrayList<>(4);
 
         Worker(String address, int kind) {
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -192,12 +192,13 @@
 
     /** Danger: held on, a job too large for any worker would drive P to 0 and end our offers. */
     private boolean fitsNowhere(Job j) {
-        for (Worker w : fleet.ring[s.zone()]) {
-            boolean learned = known.weight[kindIndex(w.kind)] > 0;
-            boolean fits = !learned || 2 * slotsOf(w) >= j.request.slots();
-            if (fits && (j.spec.kind() < 0 || j.spec.kind() == w.kind)) { return false; }
+        int all = 0;
+        for (int k = 0; k < fleet.groups(); k++) {
+            boolean fits = known.weight[k] == 0 || 2 * known.ours(k) >= j.request.slots();
+            if (fleet.present(k) > 0 && fits && (j.spec.kind() < 0 || j.spec.kind() == k)) { return false; }
+            all += fleet.present(k);
         }
-        return fleet.ring[s.zone()].length > 0;
+        return all > 0;
     }
 
     private void hold(Job j, boolean front) {
@@ -550,9 +551,7 @@
         // danger: who does not fill a worker would take it for cold for good, and use no slot offered there
         homesMark = fleet.warmUp(now - s.cold()) ? 0 : homesMark; // it goes from its guardian to its owner
         coldHere = fleet.anyCold();
-        for (Worker w : fleet.ring[s.zone()]) {
-            zoneSlots += w.state == WorkerState.IN_SERVICE && !w.suspect ? slotsOf(w) : 0;
-        }
+        for (int k = 0; k < fleet.groups(); k++) { zoneSlots += fleet.counted(k) * known.ours(k); }
     }
 
     // ---- health ----
--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -30,6 +30,9 @@
     final TreeSet<Worker> coldOurs = new TreeSet<>(Fleet::byHash);
     /** Our own that have jobs of ours or are suspect: silence means nothing at others. */
     private final TreeSet<Worker> watched = new TreeSet<>(Fleet::byHash);
+    /** Workers of our zone, and of these those that count: in service and not suspect; by group. */
+    private final int[] present;
+    private final int[] counted;
     private final int zone;
     private final Worker[][] open;
     private final int[] count;
@@ -40,6 +43,8 @@
         ring = new Worker[zones][0];
         open = new Worker[kinds + 1][8];
         count = new int[kinds + 1];
+        present = new int[kinds + 1];
+        counted = new int[kinds + 1];
     }
 
     /** The slots that our jobs take, by worker. */
@@ -181,9 +186,28 @@
     /** Keeps a worker's places in step with what is known of it; whether it may have a free slot. */
     void place(Worker w, boolean can) {
         watch(w);
+        count(w);
         setOpen(w, can);
     }
 
+    private void count(Worker w) {
+        boolean counts = w.home == zone && w.state == WorkerState.IN_SERVICE && !w.suspect;
+        if (counts != w.counts) {
+            w.counts = counts;
+            counted[groupOf(w)] += counts ? 1 : -1;
+        }
+    }
+
+    /** Workers of our zone in a group. */
+    int present(int group) {
+        return present[group];
+    }
+
+    /** Of these, those in service and not suspect. */
+    int counted(int group) {
+        return counted[group];
+    }
+
     private void watch(Worker w) {
         boolean watch = w.ours && (w.suspect || !w.attempts.isEmpty());
         if (watch != w.watched) {
@@ -268,6 +292,13 @@
         coldHere.clear();
         coldOurs.clear();
         cold.forEach(this::indexCold);
+        Arrays.fill(present, 0);
+        Arrays.fill(counted, 0);
+        byAddress.values().forEach(w -> w.counts = false);
+        for (Worker w : ring[zone]) {
+            present[groupOf(w)]++;
+            count(w);
+        }
         watched.forEach(w -> w.watched = false);
         watched.clear();
         for (Worker w : ours) {
--- a/src/test/java/saffronferry/FleetTest.java
+++ b/src/test/java/saffronferry/FleetTest.java
@@ -131,4 +131,37 @@
         assertEquals(1, fleet.watched(0, 1).size());
         assertSame(young, fleet.watched(0, 1).get(0));
     }
+
+    /** As a walk over the zone counts them, whatever became of workers meanwhile. */
+    @Test
+    void workersThatCountAreCounted() {
+        Fleet fleet = new Fleet(2, 2, 1);
+        SplittableRandom dice = new SplittableRandom(1);
+        List<Book.Worker> all = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            all.add(new Book.Worker("10.0.0." + i, i % 3 - 1));
+            fleet.byAddress.put(all.get(i).address, all.get(i));
+        }
+        for (int i = 0; i < 300; i++) {
+            for (Book.Worker w : all) {
+                w.state = Contract.WorkerState.values()[dice.nextInt(3)];
+                w.home = dice.nextInt(2);
+            }
+            fleet.arrange();
+            fleet.gather();
+            for (int k = 0; k < 20; k++) {
+                Book.Worker w = all.get(dice.nextInt(all.size()));
+                w.suspect = !w.suspect;
+                fleet.place(w, dice.nextBoolean());
+            }
+            for (int k = 0; k < fleet.groups(); k++) {
+                int kind = k == 2 ? -1 : k;
+                List<Book.Worker> present = all.stream().filter(w -> w.home == 1 && w.kind == kind
+                        && w.state != Contract.WorkerState.GONE).toList();
+                assertEquals(present.size(), fleet.present(k));
+                assertEquals(present.stream().filter(w -> !w.suspect && w.state == Contract.WorkerState.IN_SERVICE)
+                        .count(), fleet.counted(k));
+            }
+        }
+    }
 }
