What hung on the order of a hash table hangs on the ring, or stays as it was

Need: so that a change of one worker can be told from the whole list, nothing may hang on all workers being placed anew in the order in which a hash table of addresses happens to give them. (1) An arrangement closed all workers and opened them again in that order; now those that are open keep their places, others come behind. (2) What our jobs hold of others' workers was told in that order, after a walk over the list each half second and lender; now an index of these (Fleet.borrowed), by hash.

What differs: the order of the open ones, which nothing but draws see. Of more than four each is drawn with equal chance whatever its place; of four and fewer all are compared, each with a draw of its own added; offers draw, too. The entries of one datagram are set one by one, whatever their order; of more than 62 workers others than before are left out. Between arrangements nothing differs.

--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -885,7 +885,7 @@
     }
 
     private void arrange() {
-        fleet.closeAll();
+        fleet.forgetGone();
         for (Worker w : fleet.byAddress.values()) {
             w.home = homeZone(w);
             w.ours = false;
@@ -893,7 +893,7 @@
         fleet.arrange();
         own();
         fleet.gather();
-        for (Worker w : fleet.byAddress.values()) {
+        for (Worker w : fleet.inOrder()) {
             for (int i = 0; w.others > 0 && i < peers.length; i++) {
                 // its process took the jobs with it, or who fills it now hears of them: nobody will tell us
                 boolean near = !w.ours && peers[i].zone == s.zone();
@@ -980,7 +980,7 @@
         for (Peer y : peers) {
             giveBack(y, heldSlots > 0);
             if (!y.holdsDue(now)) { continue; }
-            tell(y.number, y.holds(now, fleet.byAddress.values(), message(Message.Type.HOLDS)));
+            tell(y.number, y.holds(now, fleet.borrowed, message(Message.Type.HOLDS)));
         }
         placeBound();
         retryHeld();
--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -30,6 +30,8 @@
     final TreeSet<Worker> coldOurs = new TreeSet<>(Fleet::byHash);
     /** Our own that have jobs of ours or are suspect: silence means nothing at others. */
     private final TreeSet<Worker> watched = new TreeSet<>(Fleet::byHash);
+    /** Others' workers that have jobs of ours. */
+    final TreeSet<Worker> borrowed = new TreeSet<>(Fleet::byHash);
     /** Workers of our zone, and of these those that count: in service and not suspect; by group. */
     private final int[] present;
     private final int[] counted;
@@ -185,6 +187,11 @@
 
     /** Keeps a worker's places in step with what is known of it; whether it may have a free slot. */
     void place(Worker w, boolean can) {
+        if (w.mine > 0 && !w.ours) {
+            borrowed.add(w);
+        } else {
+            borrowed.remove(w);
+        }
         watch(w);
         count(w);
         setOpen(w, can);
@@ -253,22 +260,27 @@
         }
     }
 
-    /** Closes all workers: their owners and zones may change before {@link #arrange}. */
-    void closeAll() {
-        for (Worker w : byAddress.values()) {
-            setOpen(w, false);
-        }
-        forgetGone();
-    }
-
     /** Danger: each release replaces workers by new ones; those that are gone must not fill memory. */
-    private void forgetGone() {
+    void forgetGone() {
         if (byAddress.size() > MANY) {
-            byAddress.values().removeIf(w -> w.state == WorkerState.GONE && w.attempts.isEmpty());
-            cold.removeIf(w -> w.state == WorkerState.GONE && w.attempts.isEmpty());
+            for (Worker w : inOrder()) {
+                if (w.state == WorkerState.GONE && w.attempts.isEmpty()) {
+                    byAddress.remove(w.address);
+                    cold.remove(w);
+                    borrowed.remove(w);
+                    setOpen(w, false);
+                }
+            }
         }
     }
 
+    /** All, in the order of the ring. */
+    List<Worker> inOrder() {
+        List<Worker> all = new ArrayList<>(byAddress.values());
+        all.sort(Fleet::byHash);
+        return all;
+    }
+
     /** Sorts the workers by their zones. */
     void arrange() {
         List<List<Worker>> lists = new ArrayList<>();
--- a/src/test/java/saffronferry/FleetTest.java
+++ b/src/test/java/saffronferry/FleetTest.java
@@ -20,7 +20,7 @@
             w.state = i < 10 ? Contract.WorkerState.IN_SERVICE : Contract.WorkerState.GONE;
             fleet.byAddress.put(w.address, w);
         }
-        fleet.closeAll();
+        fleet.forgetGone();
         assertEquals(10, fleet.byAddress.size());
     }
 
