A change of one worker is a change of one worker, not of the whole list

Cause: arrange() found the home of each worker, sorted all zones, dealt the zone's workers and refreshed each (an exponential each) for one that drains; once more at the next tick where it is cold, and when it is warm. Fleet now notes whose place may have changed (touch), seats these alone, and deals the zone only where its workers changed and more than one dispatcher shares them. What else an arrangement set right for workers at rest is touched, too: slots of a kind that were learned meanwhile, jobs that others tell of at workers of others, offers. The gone have an index for the same reason.

ModuleCost plays whole lists until they are compiled: changes used to do that for them.

Picks and ticks as before.

--- a/src/main/java/saffronferry/Book.java
+++ b/src/main/java/saffronferry/Book.java
@@ -56,14 +56,16 @@
         int fulls;
         int errors;              // in a row
         int resets;              // since the last sign of life
-        int home = -1;           // zone whose dispatchers fill it
+        int seat = -1;           // zone whose dispatchers fill it; -1: none, or it is gone
+        int dealtTo = -1;        // dispatcher of our zone that fills it while it is warm
         int lender = -1;         // dispatcher that offered a slot there last
         boolean ours;            // this dispatcher fills it first
         double lately;           // slots taken, averaged over about the age of a report
         int takenThen;
         long takenAt;
         int openAt = -1;
-        boolean watched;         // these two: as Fleet has it in its indexes
+        boolean borrowed;        // these three: as Fleet has it in its indexes
+        boolean watched;
         boolean counts;
         final ArrayList<Attempt> attempts = new ArrayList<>(4);
 
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -7,7 +7,6 @@
 import saffronferry.fleet.CallPace;
 import saffronferry.fleet.ColdRate;
 import saffronferry.fleet.ColdShares;
-import saffronferry.fleet.Owners;
 import saffronferry.fleet.Sharing;
 import saffronferry.fleet.TalkBudget;
 import saffronferry.fleet.WatchEnd;
@@ -63,6 +62,7 @@
     private final TalkBudget talk;
     private final CallPace calls;
     private final ColdShares shares;
+    private final Homes homes;
     private final ColdRate coldRate;
     private int processes = 1; // of this dispatcher: budgets are for both together
     private int heldSlots, arrivals, homesMark, turn, neighbour, probeTurn, checkTurn, goneByNow;
@@ -85,6 +85,7 @@
         peers = new Peer[settings.peers()];
         for (int i = 0; i < peers.length; i++) { peers[i] = new Peer(i); }
         shares = new ColdShares(settings.self(), settings.peers());
+        homes = new Homes(settings.zones(), settings.zone(), shares);
         coldRate = new ColdRate(settings.fallMultiple(), settings.coldShare(), settings.cold());
         repeats = new RepeatBudget(settings.peers());
         calls = new CallPace(settings.listOnDemand() ? settings.peers() : 1, settings.mostUnasked());
@@ -302,6 +303,7 @@
         if (i < 0) { return null; }
         y.use(i, j.request.slots(), cost(j, y.offers[i]));
         y.offers[i].lender = y.number;
+        fleet.touch(y.offers[i]);
         return y.offers[i];
     }
 
@@ -334,12 +336,11 @@
     }
 
     // ---- slot learning ----
-    private double slotsOf(Worker w) { return known.ours(kindIndex(w.kind)); }
-
     private int kindIndex(int kind) { return kind < 0 ? known.slots.length - 1 : kind; }
 
     private double free(Worker w) {
-        double slots = w.failedTrials > 0 ? 1 : Math.floor(slotsOf(w) + 0.4); // on trial: one job at a time
+        // on trial: one job at a time
+        double slots = w.failedTrials > 0 ? 1 : known.usable(kindIndex(w.kind));
         return slots - w.mine - w.others;
     }
 
@@ -806,7 +807,7 @@
         boolean first = !begun;
         begun = true;
         boolean changed = kind != ListKind.CHANGES; // what a whole list does not name is gone
-        if (changed) { fleet.byAddress.values().forEach(w -> w.state = WorkerState.GONE); }
+        if (changed) { fleet.goneAll(); }
         for (WorkerInfo e : entries) { changed |= take(e, first); }
         if (changed) { arrange(); }
         if (first) { begin(); }
@@ -831,6 +832,7 @@
             w.suspect = false;
             w.failedTrials = 0;
         }
+        if (moved) { fleet.touch(w); }
         return moved;
     }
 
@@ -838,35 +840,6 @@
         return zone == s.zone() || heardIn[zone] > 0 && now - heardIn[zone] <= LEFT_ALONE;
     }
 
-    /** Danger: nobody serves the workers of a zone without dispatchers. Another zone adopts each. */
-    private int homeZone(Worker w) {
-        if (w.zone < 0 || served(w.zone) || !settled) { return w.zone; }
-        int best = s.zone();
-        for (int z = 0; z < heardIn.length; z++) {
-            best = served(z) && Book.mix(w.hash, z) > Book.mix(w.hash, best) ? z : best;
-        }
-        return best;
-    }
-
-    /** Who of our zone's dispatchers, as far as heard, fills which of its workers. */
-    private void own() {
-        Worker[] zone = fleet.ring[s.zone()];
-        int[] near = Arrays.stream(peers)
-                .filter(y -> y.number == s.self() || y.heard > 0 && y.zone == s.zone())
-                .mapToInt(y -> y.number).toArray();
-        shares.near(Arrays.stream(near).filter(y -> shares.counts(y, now)).toArray());
-        int[] owners = Owners.share(Arrays.stream(zone).mapToInt(w -> w.hash).toArray(), near);
-        for (int i = 0; i < zone.length; i++) {
-            Worker w = zone[i];
-            int owner = w.coldSince == 0 ? owners[i] : shares.guardian(w.hash);
-            w.ours = owner == s.self();
-            // danger: it changes hands with jobs on it, and who fills it now would count their slots as free
-            boolean unknown = w.mine > 0 && w.lender != owner;
-            w.lender = w.ours ? -1 : unknown ? owner : w.lender;
-            if (unknown) { tellLender(w); }
-        }
-    }
-
     /** Which zones have dispatchers, and who fills which worker first, as far as heard. */
     private void learnHomes() {
         settled = now - bornAt > SETTLE || peers.length == 1;
@@ -884,25 +857,32 @@
         }
     }
 
+    /** Who has dispatchers, who of ours fills which worker, and what follows for those that change hands. */
     private void arrange() {
-        fleet.forgetGone();
-        for (Worker w : fleet.byAddress.values()) {
-            w.home = homeZone(w);
-            w.ours = false;
-        }
-        fleet.arrange();
-        own();
-        fleet.gather();
-        for (Worker w : fleet.inOrder()) {
+        int[] near = Arrays.stream(peers)
+                .filter(y -> y.number == s.self() || y.heard > 0 && y.zone == s.zone())
+                .mapToInt(y -> y.number).toArray();
+        BitSet served = new BitSet();
+        for (int z = 0; z < heardIn.length; z++) { served.set(z, !settled || served(z)); }
+        int[] counted = Arrays.stream(near).filter(y -> shares.counts(y, now)).toArray();
+        for (Worker w : fleet.arrange(homes, homes.hear(near, counted, served), known)) {
+            if (w.seat == s.zone()) { own(w, homes.owner(w)); }
             for (int i = 0; w.others > 0 && i < peers.length; i++) {
                 // its process took the jobs with it, or who fills it now hears of them: nobody will tell us
-                boolean near = !w.ours && peers[i].zone == s.zone();
-                if (near || w.state == WorkerState.GONE) { peers[i].hold(w, 0, now); }
+                boolean elsewhere = !w.ours && peers[i].zone == s.zone();
+                if (elsewhere || w.state == WorkerState.GONE) { peers[i].hold(w, 0, now); }
             }
             refresh(w);
         }
     }
 
+    private void own(Worker w, int owner) {
+        // danger: it changes hands with jobs on it, and who fills it now would count their slots as free
+        boolean unknown = w.mine > 0 && w.lender != owner;
+        w.lender = w.ours ? -1 : unknown ? owner : w.lender;
+        if (unknown) { tellLender(w); }
+    }
+
     private void begin() {
         lastTick = now;
         bornAt = now;
--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -3,10 +3,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import saffronferry.Book.Peer;
 import saffronferry.Book.Worker;
@@ -32,6 +35,11 @@
     private final TreeSet<Worker> watched = new TreeSet<>(Fleet::byHash);
     /** Others' workers that have jobs of ours. */
     final TreeSet<Worker> borrowed = new TreeSet<>(Fleet::byHash);
+    private final Set<Worker> gone = new HashSet<>();
+    /** Whose place may have changed since the last arrangement; and whether all are. */
+    private final Set<Worker> touched = new HashSet<>();
+    private boolean allTouched;
+    private int usableChanges;
     /** Workers of our zone, and of these those that count: in service and not suspect; by group. */
     private final int[] present;
     private final int[] counted;
@@ -95,15 +103,10 @@
         w.coldSince = start;
         w.cold.reset();
         cold.add(w);
-        indexCold(w);
-    }
-
-    private void indexCold(Worker w) {
-        if (w.home == zone && w.state != WorkerState.GONE) {
-            coldHere.add(w);
-            if (w.ours) {
-                coldOurs.add(w);
-            }
+        touch(w);
+        if (w.seat == zone && w.state != WorkerState.GONE) {
+            set(coldHere, w, true);
+            set(coldOurs, w, w.ours);
         }
     }
 
@@ -117,6 +120,7 @@
                 each.remove();
                 coldHere.remove(w);
                 coldOurs.remove(w);
+                touch(w);
                 any = true;
             }
         }
@@ -187,10 +191,13 @@
 
     /** Keeps a worker's places in step with what is known of it; whether it may have a free slot. */
     void place(Worker w, boolean can) {
-        if (w.mine > 0 && !w.ours) {
-            borrowed.add(w);
-        } else {
-            borrowed.remove(w);
+        if (w.borrowed != (w.mine > 0 && !w.ours)) {
+            w.borrowed = !w.borrowed;
+            set(borrowed, w, w.borrowed);
+        }
+        // what others have there counts no more once it is known who fills it
+        if (w.others > 0 && !w.ours && w.state != WorkerState.GONE) {
+            touch(w);
         }
         watch(w);
         count(w);
@@ -198,7 +205,7 @@
     }
 
     private void count(Worker w) {
-        boolean counts = w.home == zone && w.state == WorkerState.IN_SERVICE && !w.suspect;
+        boolean counts = w.seat == zone && w.state == WorkerState.IN_SERVICE && !w.suspect;
         if (counts != w.counts) {
             w.counts = counts;
             counted[groupOf(w)] += counts ? 1 : -1;
@@ -261,61 +268,184 @@
     }
 
     /** Danger: each release replaces workers by new ones; those that are gone must not fill memory. */
-    void forgetGone() {
-        if (byAddress.size() > MANY) {
-            for (Worker w : inOrder()) {
-                if (w.state == WorkerState.GONE && w.attempts.isEmpty()) {
-                    byAddress.remove(w.address);
-                    cold.remove(w);
-                    borrowed.remove(w);
-                    setOpen(w, false);
-                }
+    private void forgetGone() {
+        boolean many = byAddress.size() > MANY;
+        for (Iterator<Worker> each = gone.iterator(); many && each.hasNext();) {
+            Worker w = each.next();
+            if (w.attempts.isEmpty()) {
+                each.remove();
+                byAddress.remove(w.address);
+                cold.remove(w);
+            }
+        }
+    }
+
+    /** A worker is new, or something of it has changed that may change its place: see {@link #arrange}. */
+    void touch(Worker w) {
+        touched.add(w);
+    }
+
+    /** A whole list comes: what it does not name is gone. */
+    void goneAll() {
+        byAddress.values().forEach(w -> w.state = WorkerState.GONE);
+        allTouched = true;
+    }
+
+    /**
+     * Gives workers their places: those that were touched, and all that may change hands with them.
+     *
+     * @param anew whether any worker may change hands
+     * @return whose place may have changed, in the order of the ring
+     */
+    List<Worker> arrange(Homes homes, boolean anew, Lessons known) {
+        boolean all = anew || allTouched;
+        boolean seats = all;
+        // danger: slots that were learned meanwhile open or close all workers of a kind, also those at rest
+        if (usableChanges != known.usableChanges) {
+            usableChanges = known.usableChanges;
+            touched.addAll(Arrays.asList(ours));
+        }
+        List<Worker> moved = inOrder(all ? byAddress.values() : touched);
+        if (all) {
+            seatAll(moved, homes);
+        } else {
+            for (Worker w : moved) {
+                seats |= seat(w, homes.zoneOf(w));
+            }
+        }
+        if (!homes.dealt()) {
+            moved.forEach(w -> w.dealtTo = homes.only());
+        } else if (seats) {
+            deal(homes);
+            moved = all ? moved : inOrder(touched);
+        }
+        touched.clear();
+        allTouched = false;
+        own(moved, homes, all || seats && homes.dealt());
+        index(all ? cold : moved);
+        gone(moved, all);
+        return moved;
+    }
+
+    /** Which of some workers are ours; {@code many}: it is not worth while to put in or take out each. */
+    private void own(List<Worker> moved, Homes homes, boolean many) {
+        for (Worker w : moved) {
+            boolean mine = w.seat == zone && homes.ours(w);
+            if (mine != w.ours && !many) {
+                ours = mine ? with(ours, w) : without(ours, w);
+            }
+            w.ours = mine;
+        }
+        if (many) {
+            ours = Arrays.stream(ring[zone]).filter(w -> w.ours).toArray(Worker[]::new);
+        }
+    }
+
+    private void index(Collection<Worker> moved) {
+        if (moved == cold) {
+            coldHere.clear();
+            coldOurs.clear();
+        }
+        for (Worker w : moved) {
+            set(coldHere, w, w.coldSince != 0 && w.seat == zone);
+            set(coldOurs, w, w.coldSince != 0 && w.ours);
+        }
+    }
+
+    private void gone(List<Worker> moved, boolean all) {
+        if (all) {
+            gone.clear();
+        }
+        for (Worker w : moved) {
+            if (w.state == WorkerState.GONE) {
+                gone.add(w);
+            } else if (!all) {
+                gone.remove(w);
+            }
+        }
+        forgetGone();
+    }
+
+    private static void set(TreeSet<Worker> index, Worker w, boolean in) {
+        if (in) {
+            index.add(w);
+        } else {
+            index.remove(w);
+        }
+    }
+
+    /** Deals our zone's workers anew; touched are those that change hands. */
+    private void deal(Homes homes) {
+        int[] owners = homes.deal(ring[zone]);
+        for (int i = 0; i < owners.length; i++) {
+            if (ring[zone][i].dealtTo != owners[i]) {
+                ring[zone][i].dealtTo = owners[i];
+                touched.add(ring[zone][i]);
             }
         }
     }
 
-    /** All, in the order of the ring. */
-    List<Worker> inOrder() {
-        List<Worker> all = new ArrayList<>(byAddress.values());
+    private static List<Worker> inOrder(Collection<Worker> some) {
+        List<Worker> all = new ArrayList<>(some);
         all.sort(Fleet::byHash);
         return all;
     }
 
-    /** Sorts the workers by their zones. */
-    void arrange() {
+    private int seatOf(Worker w, int home) {
+        return home >= 0 && home < ring.length && w.state != WorkerState.GONE ? home : -1;
+    }
+
+    /** Puts one worker into its zone; whether our zone's workers are others now. */
+    private boolean seat(Worker w, int home) {
+        int from = w.seat;
+        w.seat = seatOf(w, home);
+        if (from == w.seat) {
+            return false;
+        }
+        if (from >= 0) {
+            ring[from] = without(ring[from], w);
+        }
+        if (w.seat >= 0) {
+            ring[w.seat] = with(ring[w.seat], w);
+        }
+        present[groupOf(w)] += (w.seat == zone ? 1 : 0) - (from == zone ? 1 : 0);
+        return w.seat == zone || from == zone;
+    }
+
+    /** Puts all workers, in the order of the ring, into their zones. */
+    private void seatAll(List<Worker> all, Homes homes) {
         List<List<Worker>> lists = new ArrayList<>();
         for (int z = 0; z < ring.length; z++) {
             lists.add(new ArrayList<>());
         }
-        for (Worker w : byAddress.values()) {
-            if (w.home >= 0 && w.home < ring.length && w.state != WorkerState.GONE) {
-                lists.get(w.home).add(w);
+        Arrays.fill(present, 0);
+        for (Worker w : all) {
+            w.seat = seatOf(w, homes.zoneOf(w));
+            if (w.seat >= 0) {
+                lists.get(w.seat).add(w);
+                present[groupOf(w)] += w.seat == zone ? 1 : 0;
             }
         }
         for (int z = 0; z < ring.length; z++) {
             ring[z] = lists.get(z).toArray(new Worker[0]);
-            Arrays.sort(ring[z], Fleet::byHash);
         }
     }
 
-    /** Picks out the workers of our zone that are ours. */
-    void gather() {
-        ours = Arrays.stream(ring[zone]).filter(w -> w.ours).toArray(Worker[]::new);
-        coldHere.clear();
-        coldOurs.clear();
-        cold.forEach(this::indexCold);
-        Arrays.fill(present, 0);
-        Arrays.fill(counted, 0);
-        byAddress.values().forEach(w -> w.counts = false);
-        for (Worker w : ring[zone]) {
-            present[groupOf(w)]++;
-            count(w);
-        }
-        watched.forEach(w -> w.watched = false);
-        watched.clear();
-        for (Worker w : ours) {
-            watch(w);
-        }
+    private static Worker[] with(Worker[] sorted, Worker w) {
+        int at = -1 - Arrays.binarySearch(sorted, w, Fleet::byHash);
+        Worker[] more = new Worker[sorted.length + 1];
+        System.arraycopy(sorted, 0, more, 0, at);
+        more[at] = w;
+        System.arraycopy(sorted, at, more, at + 1, sorted.length - at);
+        return more;
+    }
+
+    private static Worker[] without(Worker[] sorted, Worker w) {
+        int at = Arrays.binarySearch(sorted, w, Fleet::byHash);
+        Worker[] fewer = new Worker[sorted.length - 1];
+        System.arraycopy(sorted, 0, fewer, 0, at);
+        System.arraycopy(sorted, at + 1, fewer, at, fewer.length - at);
+        return fewer;
     }
 
     private static int byHash(Worker a, Worker b) {
--- a/src/main/java/saffronferry/Lessons.java
+++ b/src/main/java/saffronferry/Lessons.java
@@ -18,6 +18,8 @@
      */
     final double[] slots;
     final double[] weight;
+    /** How often the usable slots of a kind have changed: workers at rest may be open by other ones still. */
+    int usableChanges;
     /** The most free slots that workers of a kind report, by and by: what others have there is not in it. */
     private final double[] idle;
     /** Running time at a worker of each kind, over the class's mean. */
@@ -55,7 +57,9 @@
             return;
         }
         weight[k] = Math.min(weight[k] + 1, SLOT_SAMPLES);
+        double before = usable(k);
         slots[k] += (total - slots[k]) / weight[k];
+        usableChanges += usable(k) != before ? 1 : 0;
     }
 
     /** A worker reports so many free slots. */
@@ -70,6 +74,11 @@
         return slots[k] > 0 ? slots[k] : UNKNOWN_SLOTS;
     }
 
+    /** The same as a number of jobs. */
+    double usable(int k) {
+        return Math.floor(ours(k) + 0.4);
+    }
+
     /** Slots of a worker whoever fills them: what all together may send to a cold one hangs on these. */
     double whole(int k) {
         return Math.max(ours(k), idle[k]);
@@ -111,6 +120,7 @@
         if (knows || !sane) {
             return;
         }
+        usableChanges++;
         int at = 0;
         for (double[] of : new double[][] {slots, weight, mean, base}) {
             System.arraycopy(all, at, of, 0, of.length);
--- a/src/test/java/saffronferry/ModuleCost.java
+++ b/src/test/java/saffronferry/ModuleCost.java
@@ -180,6 +180,9 @@
         for (int i = 0; i < few; i++) {
             replace += module.replace(8);
         }
+        for (int i = 0; i < 100_000 / workers; i++) { // for the compiler: changes may go another way
+            module.whole();
+        }
         for (int i = 0; i < Math.max(4, few / 8); i++) {
             whole += module.whole();
         }
--- a/src/test/java/saffronferry/ModuleTrace.java
+++ b/src/test/java/saffronferry/ModuleTrace.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import saffronferry.Contract.Effect;
 import saffronferry.Contract.Group;
 import saffronferry.Contract.ListKind;
@@ -17,7 +19,8 @@
 /**
  * Random days of small fleets of modules that speak with each other, and a digest of all that they do: equal
  * for two versions that decide alike. Command: {@code java -cp target/classes:target/test-classes
- * saffronferry.ModuleTrace SEED SEEDS}, to be run with the classes of both versions.
+ * saffronferry.ModuleTrace SEED SEEDS [all]}, to be run with the classes of both versions; {@code all} prints
+ * each action as well.
  */
 final class ModuleTrace {
     private static final long STEP = 5 * Rig.MS;
@@ -60,7 +63,7 @@
             rig.module.workers(rig.now, ListKind.WARM_COPY, listed);
             rigs.add(rig);
             asked.add(new HashMap<>());
-            running.add(new java.util.LinkedHashMap<>());
+            running.add(new LinkedHashMap<>());
         }
         read = new int[peers];
         heard = new int[peers];
@@ -194,7 +197,12 @@
         long first = Long.parseLong(args[0]);
         for (long seed = first; seed < first + Long.parseLong(args[1]); seed++) {
             ModuleTrace day = new ModuleTrace(seed);
-            System.out.printf("%d %016x %s%n", seed, day.play(3000), new java.util.TreeMap<>(day.counts));
+            System.out.printf("%d %016x %s%n", seed, day.play(3000), new TreeMap<>(day.counts));
+            for (int d = 0; args.length > 2 && d < day.rigs.size(); d++) {
+                for (String line : day.rigs.get(d).trace) {
+                    System.out.println(d + " " + line);
+                }
+            }
         }
     }
 }
