What was touched in a whole list is not gathered, and not cleared with each change

Cause: a whole list put each worker into the set of the touched, though all are placed anew then; and a hash set that has once been large takes time in proportion to it at each clear. It is made anew instead, and a whole list puts nothing in.

--- a/src/main/java/saffronferry/Fleet.java
+++ b/src/main/java/saffronferry/Fleet.java
@@ -37,7 +37,7 @@
     private final TreeSet<Worker> borrowed = new TreeSet<>(Fleet::byHash);
     private final Set<Worker> gone = new HashSet<>();
     /** Whose place may have changed since the last arrangement; and whether all are. */
-    private final Set<Worker> touched = new HashSet<>();
+    private Set<Worker> touched = new HashSet<>();
     private boolean allTouched;
     private int usableChanges;
     /** Workers looked at since the start: a test holds that what happens often looks at few. */
@@ -334,7 +334,9 @@
 
     /** A worker is new, or something of it has changed that may change its place: see {@link #arrange}. */
     void touch(Worker w) {
-        touched.add(w);
+        if (!allTouched) {
+            touched.add(w);
+        }
     }
 
     /** A whole list comes: what it does not name is gone. */
@@ -372,7 +374,7 @@
             moved = all ? moved : inOrder(touched);
         }
         looked(moved);
-        touched.clear();
+        touched = new HashSet<>(); // one that has been large would take long to clear each time
         allTouched = false;
         own(moved, homes, all || seats && homes.dealt());
         index(all ? cold : moved);
