--- a/src/main/java/saffronferry/cli/LabCommand.java
+++ b/src/main/java/saffronferry/cli/LabCommand.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import org.json.JSONArray;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -16,6 +17,7 @@
 import picocli.CommandLine.Spec;
 import saffronferry.lab.Lab;
 import saffronferry.lab.PairedDifference;
+import saffronferry.lab.Sweep;
 import saffronferry.lab.check.RuleChecker;
 import saffronferry.lab.explore.EscrowModel;
 import saffronferry.lab.explore.Explorer;
@@ -91,33 +93,40 @@
         return broken(all.values().stream().flatMap(List::stream).toList());
     }
 
-    @Command(name = "sweep", description = "Plays the same days with several values of one key.")
+    @Command(name = "sweep", description = "Plays the same days with several values of one key, or of "
+            + "several keys that change together.")
     int sweep(@Parameters(paramLabel = "SCENARIO.toml") Path file,
             @Option(names = "--set", required = true, paramLabel = "KEY=V1,V2,...",
-                    description = "a key as lab explain prints it, and its values") String set,
+                    description = "a key as lab explain prints it, and its values; given again, the first "
+                    + "value of each key goes with the first of the others") List<String> set,
             @Option(names = "--policy", defaultValue = "networked-queues",
                     description = "${DEFAULT-VALUE} by default") String policy,
             @Option(names = "--seeds", defaultValue = "1-4",
                     description = "as 1-8 or 1,5,9 (${DEFAULT-VALUE})") String seeds,
             @Option(names = "--threads", description = "days at once; as many as there are cores by default")
-            Integer threads) throws Exception {
-        int equals = set.indexOf('=');
-        if (equals <= 0) {
-            throw new IllegalArgumentException("--set: expected KEY=V1,V2,..., got " + set);
-        }
-        String key = set.substring(0, equals);
+            Integer threads,
+            @Option(names = "--out", paramLabel = "RESULT.json",
+                    description = "where each play's sizes and figures go, for scale-fit") Path result)
+            throws Exception {
         Policy chosen = Policy.of(policy);
         Map<String, List<Day>> all = new LinkedHashMap<>();
-        for (String value : set.substring(equals + 1).split(",")) {
-            Scenario scenario;
-            try {
-                scenario = ScenarioReader.read(file, key, value);
-            } catch (ScenarioException e) {
-                throw new IllegalArgumentException("this scenario cannot be played:\n" + e.getMessage());
-            }
-            all.put(key + "=" + value, Lab.run(scenario, chosen, seeds(seeds), threads(threads)));
+        JSONArray plays = new JSONArray();
+        List<List<String>> steps = Sweep.together(set);
+        if (result != null) {
+            // guards against the first size's decisions being timed before they are compiled
+            Lab.run(read(file, steps.get(0)), chosen, seeds(seeds).subList(0, 1), 1);
+        }
+        for (List<String> values : steps) {
+            Scenario scenario = read(file, values);
+            List<Day> days = Lab.run(scenario, chosen, seeds(seeds), threads(threads));
+            all.put(String.join(" ", values), days);
+            days.forEach(day -> plays.put(Sweep.play(scenario, day)));
         }
         table(all);
+        if (result != null) {
+            Files.writeString(result, Sweep.json(read(file, List.of()).name(), plays).toString(1) + "\n");
+            out().println("wrote " + result);
+        }
         return broken(all.values().stream().flatMap(List::stream).toList());
     }
 
--- a/src/main/java/saffronferry/lab/world/Node.java
+++ b/src/main/java/saffronferry/lab/world/Node.java
@@ -1,5 +1,7 @@
 package saffronferry.lab.world;
 
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -18,6 +20,7 @@
 
 /** An emulated dispatcher: carries out what its brain decides, over the emulated network. */
 final class Node {
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
     /** Who makes a brain, anew for each life; {@code life} counts from 0. */
     interface Maker {
         Brain make(int dispatcher, int life);
@@ -67,7 +70,7 @@
     private int life = -1;
     private long lastId;
     private int watch;
-    private long busy; // real time that decisions took, ns: for the report alone
+    private long busy; // processor time that decisions took, ns: for the report alone
     private int depth;
     private final List<Runnable> waiting = new ArrayList<>();
 
@@ -271,9 +274,10 @@
     }
 
     private void run(Decision decision) {
-        long begun = System.nanoTime();
+        // danger: on a machine with other work, real time counts what others had of the core
+        long begun = THREADS.getCurrentThreadCpuTime();
         List<Step> steps = decision.of(brain);
-        busy += System.nanoTime() - begun;
+        busy += THREADS.getCurrentThreadCpuTime() - begun;
         world.tally.decisions++;
         steps.forEach(this::perform);
     }
--- a/src/main/java/saffronferry/lab/world/Tally.java
+++ b/src/main/java/saffronferry/lab/world/Tally.java
@@ -29,7 +29,10 @@
     long refusals;
     long failures;
     long probes;
-    long datagrams;
+    private long datagrams;
+    private long datagramBytes;
+    private long startDatagrams; // before the first request, when all dispatchers have started together
+    private long startDatagramBytes;
     long decisions;
 
     Tally(Scenario scenario, long start) {
@@ -41,6 +44,18 @@
         path = new long[scenario.classes().size()][6];
     }
 
+    /** A dispatcher tells a peer; bytes are those of the payload. */
+    void datagram(int bytes) {
+        datagrams++;
+        datagramBytes += bytes;
+    }
+
+    /** All have started, and the day begins. */
+    void settled() {
+        startDatagrams = datagrams;
+        startDatagramBytes = datagramBytes;
+    }
+
     /** A client tries, for the first time or again. */
     void tried(Call call) {
         long[] p = path[call.rpcClass];
@@ -154,7 +169,9 @@
                 .put("requests", requests).put("in_time", inTime).put("late", late)
                 .put("tries", inAll(1)).put("attempts", inAll(2)).put("path", byPath)
                 .put("refusals", refusals).put("failures", failures)
-                .put("probes", probes).put("datagrams", datagrams).put("decisions", decisions)
+                .put("probes", probes).put("datagrams", datagrams)
+                .put("datagram_bytes", datagramBytes).put("start_datagrams", startDatagrams)
+                .put("start_datagram_bytes", startDatagramBytes).put("decisions", decisions)
                 .put("events", events).put("latency_s", quantiles).put("worth_by_second", bySecond);
     }
 
--- a/src/main/java/saffronferry/lab/world/World.java
+++ b/src/main/java/saffronferry/lab/world/World.java
@@ -24,10 +24,13 @@
  * One emulated day. Deterministic: the same scenario, policy and seed give the same day, to the last byte.
  */
 public final class World {
-    /** What a day came to; {@code json} holds nothing that depends on the machine. */
+    /**
+     * What a day came to; {@code json} holds nothing that depends on the machine. {@code decisionMicros} is
+     * processor time a request, {@code startMicros} that of all dispatchers before the first request.
+     */
     public record Day(JSONObject json, double goal, List<RuleChecker.Broken> broken, int brokenInAll,
             long events,
-                      long requests, double decisionMicros, double seconds) { }
+                      long requests, double decisionMicros, double startMicros, double seconds) { }
 
     static final Clients.Shape STEADY = shape(t -> 1, 1);
     /** The module's clock: far from 0, which stands for long ago. */
@@ -51,6 +54,7 @@
     private final long seed;
     private final UnaryOperator<Brain> wrap;
     private int successors;
+    private long busyAtStart;
 
     private World(Scenario scenario, Policy policy, long seed, UnaryOperator<Brain> wrap) {
         this.scenario = scenario;
@@ -91,17 +95,26 @@
                 .put("story", new JSONArray(b.story()))));
         json.put("seed", seed).put("policy", policy.label()).put("rules_broken", world.checker.count())
                 .put("broken", broken);
-        long busy = world.nodes.stream().mapToLong(Node::busyNanos).sum();
+        long busy = world.busyNanos() - world.busyAtStart;
         return new Day(json, world.tally.goal(), world.checker.broken(), world.checker.count(),
                 world.sim.done(),
                 world.tally.requests(), busy / 1e3 / Math.max(1, world.tally.requests()),
+                world.busyAtStart / 1e3,
                 (System.nanoTime() - begun) / 1e9);
     }
 
+    private long busyNanos() {
+        return nodes.stream().mapToLong(Node::busyNanos).sum();
+    }
+
     private void run() {
         List<WorkerInfo> known = registry.all();
         nodes.forEach(node -> node.start(known));
         long start = START + SETTLE;
+        sim.after(SETTLE, () -> {
+            busyAtStart = busyNanos();
+            tally.settled();
+        });
         long end = start + scenario.length();
         Clients.Shape shape = shapeOf(start, end);
         clients.stream("day", 0, capacity * scenario.load().share() / (scenario.meanWork() / 1e6), -1, start,
@@ -285,7 +298,7 @@
     }
 
     void tell(Node from, int to, byte[] bytes) {
-        tally.datagrams++;
+        tally.datagram(bytes.length);
         if (to >= 0 && to < nodes.size()) {
             Node peer = nodes.get(to);
             for (long late : wires.datagram(sim.now(), from.number, to)) {
