scale-fit forecasts a figure over a size, and says whether a line is the form

Ruled out: least squares of our own (Commons Math has them: SimpleRegression, TDistribution); R squared, which is near 1 for every form that grows; leaving single plays out, since a second play at a size gives that size away; Akaike's criterion with its correction, which has no value at four sizes.

--- /dev/null
+++ b/src/main/java/saffronferry/scale/fit/Form.java
@@ -0,0 +1,32 @@
+package saffronferry.scale.fit;
+
+import java.util.function.DoubleUnaryOperator;
+
+/** How a figure may grow with a size n, simplest first: a + b times what is named here. */
+public enum Form {
+    CONSTANT("constant", n -> 0),
+    LINE("line", n -> n),
+    N_LOG_N("n log n", n -> n > 0 ? n * Math.log(n) : 0),
+    N_SQUARED("n squared", n -> n * n);
+
+    private final String label;
+    private final DoubleUnaryOperator regressor;
+
+    Form(String label, DoubleUnaryOperator regressor) {
+        this.label = label;
+        this.regressor = regressor;
+    }
+
+    public String label() {
+        return label;
+    }
+
+    /** How many parameters are fitted. */
+    int parameters() {
+        return this == CONSTANT ? 1 : 2;
+    }
+
+    double regressor(double size) {
+        return regressor.applyAsDouble(size);
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/scale/fit/ResultFile.java
@@ -0,0 +1,103 @@
+package saffronferry.scale.fit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.json.JSONArray;
+import org.json.JSONException;
+import org.json.JSONObject;
+
+/**
+ * A result file: plays at several sizes, each with its figures. All that is wrong is an {@link
+ * IllegalArgumentException} that names the file and the key, or the line where it is no JSON.
+ */
+public final class ResultFile {
+    private final String file;
+    private final JSONArray plays;
+
+    /**
+     * Reads a result.
+     *
+     * @param file what errors call it
+     * @param text its content
+     */
+    public ResultFile(String file, String text) {
+        this.file = file;
+        try {
+            plays = new JSONObject(text).getJSONArray("plays");
+        } catch (JSONException e) {
+            // the library's word names the line, or the key
+            throw new IllegalArgumentException(file + ": " + e.getMessage());
+        }
+    }
+
+    /**
+     * A figure of all plays that meet some conditions, by size.
+     *
+     * @param figure a key of {@code figures}
+     * @param over a key of a play, or another one of its figures
+     * @param where keys and the values they must have
+     */
+    public List<Point> points(String figure, String over, Map<String, String> where) {
+        List<Point> points = new ArrayList<>();
+        for (int i = 0; i < plays.length(); i++) {
+            JSONObject play = play(i);
+            if (meets(play, where)) {
+                double measured = number(figures(play, i), i, figure);
+                points.add(new Point(number(play, i, over), measured));
+            }
+        }
+        if (points.isEmpty()) {
+            throw new IllegalArgumentException(file + ": plays: none with " + where);
+        }
+        return points;
+    }
+
+    /** The mean of a figure over the plays that meet some conditions. */
+    public double mean(String figure, Map<String, String> where) {
+        // a size is of no concern here, and each play has figures
+        return points(figure, figure, where).stream().mapToDouble(Point::figure).average().orElseThrow();
+    }
+
+    private JSONObject play(int i) {
+        if (plays.opt(i) instanceof JSONObject play) {
+            return play;
+        }
+        throw new IllegalArgumentException(file + ": plays[" + i + "]: expected an object");
+    }
+
+    private JSONObject figures(JSONObject play, int i) {
+        if (play.opt("figures") instanceof JSONObject figures) {
+            return figures;
+        }
+        throw new IllegalArgumentException(file + ": plays[" + i + "].figures: expected an object");
+    }
+
+    private static Object value(JSONObject play, String key) {
+        JSONObject figures = play.optJSONObject("figures");
+        return play.has(key) || figures == null ? play.opt(key) : figures.opt(key);
+    }
+
+    private static boolean meets(JSONObject play, Map<String, String> where) {
+        return where.entrySet().stream().allMatch(e -> same(value(play, e.getKey()), e.getValue()));
+    }
+
+    private static boolean same(Object value, String wanted) {
+        if (value instanceof Number number) {
+            try {
+                return number.doubleValue() == Double.parseDouble(wanted);
+            } catch (NumberFormatException e) {
+                return false;
+            }
+        }
+        return value != null && value.toString().equals(wanted);
+    }
+
+    private double number(JSONObject play, int i, String key) {
+        if (value(play, key) instanceof Number number && Double.isFinite(number.doubleValue())) {
+            return number.doubleValue();
+        }
+        throw new IllegalArgumentException(file + ": plays[" + i + "]: " + key + ": expected a number, got "
+                + value(play, key));
+    }
+}
--- a/src/test/java/saffronferry/BoundariesTest.java
+++ b/src/test/java/saffronferry/BoundariesTest.java
@@ -57,12 +57,22 @@
                 .check(ALL);
     }
 
+    /** A forecast is reckoned from what a file says, and the command reads that file. */
+    @Test
+    void fitsAreReckonedWithoutInputOrOutputAndKnowNothingOfWhatWasMeasured() {
+        noClasses().that().resideInAPackage("saffronferry.scale.fit").should().dependOnClassesThat()
+                .resideInAnyPackage("io..", "java.net..", "java.nio..", "java.io..", "java.util.concurrent..", "java.time..")
+                .check(ALL);
+        noClasses().that().resideInAPackage("saffronferry.scale.fit").should().dependOnClassesThat(
+                resideInAPackage("saffronferry..").and(resideOutsideOfPackage("saffronferry.scale.fit"))).check(ALL);
+    }
+
     @Test
     void whatServeLoadsDependsOnNothingOfTheLaboratory() {
         noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.ops", "saffronferry.log",
                 "saffronferry.settings", "saffronferry.state", "saffronferry.wire", "saffronferry.lifecycle",
                 "saffronferry.adapter").should().dependOnClassesThat().resideInAnyPackage("saffronferry.lab..",
-                "saffronferry.rig..", "saffronferry.cli..", "picocli..", "org.tomlj..", "org.HdrHistogram..", "org.apache.commons..")
+                "saffronferry.rig..", "saffronferry.cli..", "saffronferry.scale..", "picocli..", "org.tomlj..", "org.HdrHistogram..", "org.apache.commons..")
                 .check(ALL);
     }
 }
--- /dev/null
+++ b/src/test/java/saffronferry/scale/fit/FitTest.java
@@ -0,0 +1,87 @@
+package saffronferry.scale.fit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.DoubleUnaryOperator;
+import java.util.stream.DoubleStream;
+import org.junit.jupiter.api.Test;
+
+/** Fits of series whose answers are known, of noisy ones, and what cannot be fitted. */
+class FitTest {
+    private static final double[] SIZES = {200, 2000, 8000, 21000};
+
+    private static List<Point> series(DoubleUnaryOperator figure, double... sizes) {
+        return DoubleStream.of(sizes).mapToObj(n -> new Point(n, figure.applyAsDouble(n))).toList();
+    }
+
+    /** Worked out by the formulas of least squares, apart from the library. */
+    @Test
+    void aLineHasItsSlopeSpreadAndForecast() {
+        List<Point> points = List.of(new Point(1, 2.2), new Point(2, 2.8), new Point(3, 3.6),
+                new Point(4, 4.5), new Point(5, 5.1));
+        Fit fit = Fit.of(Form.LINE, points);
+        assertEquals(1.39, fit.intercept(), 1e-12);
+        assertEquals(0.75, fit.slope(), 1e-12);
+        assertEquals(0.09486832980505153, fit.residualError(), 1e-12);
+        assertEquals(0.03, fit.slopeStandardError(), 1e-12);
+        assertEquals(8.89, fit.at(10), 1e-12);
+        assertEquals(0.7456710067331034, fit.halfWidth(10), 1e-9);
+        assertEquals(1, fit.least());
+        assertEquals(5, fit.most());
+    }
+
+    @Test
+    void eachFormIsToldFromTheOthersWhereNothingIsLeftToChance() {
+        Map<Form, DoubleUnaryOperator> exact = Map.of(Form.CONSTANT, n -> 7, Form.LINE, n -> 3 + 0.002 * n,
+                Form.N_LOG_N, n -> 3 + 0.0001 * n * Math.log(n), Form.N_SQUARED, n -> 3 + 1e-8 * n * n);
+        exact.forEach((form, figure) -> {
+            Comparison c = Comparison.of(series(figure, SIZES));
+            assertEquals(form, c.best().form());
+            assertEquals(figure.applyAsDouble(50_000), c.best().at(50_000), 1e-6, form.label());
+        });
+    }
+
+    /** Three plays a size, each off by 4 at most of some 600: the form is found, the truth in the interval. */
+    @Test
+    void noiseHidesNeitherTheFormNorTheTruth() {
+        DoubleUnaryOperator line = n -> 20 + 3 * n;
+        DoubleUnaryOperator square = n -> 20 + 0.05 * n * n;
+        int within = 0;
+        for (int seed = 0; seed < 40; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            List<Point> straight = new ArrayList<>();
+            List<Point> bent = new ArrayList<>();
+            for (double n : new double[] {24, 48, 96, 192, 24, 48, 96, 192, 24, 48, 96, 192}) {
+                double off = 8 * random.nextDouble() - 4;
+                straight.add(new Point(n, line.applyAsDouble(n) + off));
+                bent.add(new Point(n, square.applyAsDouble(n) + off));
+            }
+            assertEquals(Form.N_SQUARED, Comparison.of(bent).best().form(), "seed " + seed);
+            assertEquals(Form.LINE, Comparison.of(straight).best().form(), "seed " + seed);
+            Fit fit = Fit.of(Form.LINE, straight);
+            within += Math.abs(fit.at(384) - line.applyAsDouble(384)) <= fit.halfWidth(384) ? 1 : 0;
+        }
+        assertTrue(within >= 36, within + " of 40");
+    }
+
+    /** What does not grow with the size is told so, however it scatters. */
+    @Test
+    void scatterAloneIsNoGrowth() {
+        assertEquals(Form.CONSTANT, Comparison.of(List.of(new Point(24, 5.1), new Point(48, 4.9),
+                new Point(96, 5.05), new Point(192, 4.95), new Point(384, 5.02))).best().form());
+    }
+
+    /** More plays at the same sizes are no more sizes. */
+    @Test
+    void twoSizesAreTooFew() {
+        List<Point> points = List.of(new Point(1, 1), new Point(2, 2), new Point(1, 1.1), new Point(2, 2.1));
+        assertEquals("too few sizes: 2, needed 3",
+                assertThrows(IllegalArgumentException.class, () -> Fit.of(Form.LINE, points)).getMessage());
+    }
+}
