--- a/src/main/java/saffronferry/scale/fit/ResultFile.java
+++ b/src/main/java/saffronferry/scale/fit/ResultFile.java
@@ -35,7 +35,7 @@
      * A figure of all plays that meet some conditions, by size.
      *
      * @param figure a key of {@code figures}
-     * @param over a key of a play, or another one of its figures
+     * @param over a key of a play, another one of its figures, or a key that a sweep has set
      * @param where keys and the values they must have
      */
     public List<Point> points(String figure, String over, Map<String, String> where) {
@@ -74,8 +74,13 @@
     }
 
     private static Object value(JSONObject play, String key) {
-        JSONObject figures = play.optJSONObject("figures");
-        return play.has(key) || figures == null ? play.opt(key) : figures.opt(key);
+        for (JSONObject part : new JSONObject[] {play, play.optJSONObject("figures"),
+            play.optJSONObject("set")}) {
+            if (part != null && part.has(key)) {
+                return part.get(key);
+            }
+        }
+        return null;
     }
 
     private static boolean meets(JSONObject play, Map<String, String> where) {
@@ -83,14 +88,11 @@
     }
 
     private static boolean same(Object value, String wanted) {
-        if (value instanceof Number number) {
-            try {
-                return number.doubleValue() == Double.parseDouble(wanted);
-            } catch (NumberFormatException e) {
-                return false;
-            }
+        try {
+            return value != null && Double.parseDouble(value.toString()) == Double.parseDouble(wanted);
+        } catch (NumberFormatException e) {
+            return value.toString().equals(wanted);
         }
-        return value != null && value.toString().equals(wanted);
     }
 
     private double number(JSONObject play, int i, String key) {
--- a/src/test/java/saffronferry/scale/fit/SourceTest.java
+++ b/src/test/java/saffronferry/scale/fit/SourceTest.java
@@ -15,7 +15,7 @@
              {"workers": 200, "zones": 2, "figures": {"pick_us": 2.0}},
              {"workers": 300, "zones": 2, "figures": {"pick_us": 3.0}},
              {"workers": 300, "zones": 2, "figures": {"pick_us": 5.0}},
-             {"workers": 300, "zones": 9, "figures": {"pick_us": 70.0}}]}
+             {"workers": 300, "zones": 9, "set": {"network.loss": "0.2"}, "figures": {"pick_us": 70.0}}]}
             """;
 
     private static double value(String source) {
@@ -26,6 +26,7 @@
     void playsMeansFitsAndSlopesAreFound() {
         assertEquals(1, value("r.json pick_us @ workers=100"));
         assertEquals(4, value("r.json pick_us @ workers=300, zones=2"));
+        assertEquals(70, value("r.json pick_us @ network.loss=0.20"));
         assertEquals(425 / 27500.0, value("slope r.json pick_us over workers @ zones=2"), 1e-12);
         assertEquals(2.75 + 425 / 27500.0 * 775,
                 value("fit r.json pick_us over workers at 1000 @ zones=2"), 1e-9);
