--- a/src/test/java/saffronferry/scale/fit/CapacityPage.java
+++ b/src/test/java/saffronferry/scale/fit/CapacityPage.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
@@ -37,7 +38,8 @@
     private int line;
 
     /** {@code results} and {@code code} read the files that the page names. */
-    CapacityPage(String page, String text, Function<String, ResultFile> results, Function<String, String> code) {
+    CapacityPage(String page, String text, Function<String, ResultFile> results,
+            Function<String, String> code) {
         this.page = page;
         this.text = text;
         this.results = results;
@@ -127,8 +129,8 @@
         } else if (source.startsWith("letter") || source.startsWith("assumed")) {
             values.put(name, number(value[0]).doubleValue());
         } else {
-            throw new IllegalArgumentException(name + ": source " + source + " is neither a result's, the code's, "
-                    + "the letter's nor assumed");
+            throw new IllegalArgumentException(name + ": source " + source
+                    + " is neither a result's, the code's, the letter's nor assumed");
         }
     }
 
@@ -136,7 +138,8 @@
         Comparison all = from.comparison(results);
         Fit fit = all.of(from.form());
         expect(name + " best form", row.get("best form"), all.best().form().label());
-        expect(name + " measured over", row.get("measured over"), plain(fit.least()) + " to " + plain(fit.most()));
+        expect(name + " measured over", row.get("measured over"),
+                plain(fit.least()) + " to " + plain(fit.most()));
         if (from.at() > fit.most()) {
             stretched.add(name);
         }
@@ -145,7 +148,7 @@
                     .setScale(1, RoundingMode.HALF_UP) + " times" : "within";
             expect(name + " stretch", row.get("stretch"), far);
             if (value.length != 2) {
-                throw new IllegalArgumentException(name + ": a forecast is told with its half width, as 3 ± 1");
+                throw new IllegalArgumentException(name + ": a forecast has its half width, as 3 ± 1");
             }
             same(name + " half width", value[1], fit.halfWidth(from.at()));
         }
@@ -220,7 +223,8 @@
             Map<String, String> row = worst.get(i);
             line = Integer.parseInt(row.get("line"));
             expect("rank", row.get("rank"), Integer.toString(i + 1));
-            if (i < inOrder.size() && !ratios.getOrDefault(row.get("row"), "").equals(ratios.get(inOrder.get(i)))) {
+            String ratio = ratios.getOrDefault(row.get("row"), "");
+            if (i < inOrder.size() && !ratio.equals(ratios.get(inOrder.get(i)))) {
                 tell("rank " + (i + 1) + " is " + inOrder.get(i) + ", not " + row.get("row"));
             }
             expect("ratio of " + row.get("row"), row.get("ratio"), ratios.get(row.get("row")));
@@ -259,7 +263,7 @@
     private static String plain(double size) {
         String plain = new BigDecimal(size).setScale(size == Math.rint(size) ? 0 : 2, RoundingMode.HALF_UP)
                 .toPlainString();
-        return plain.contains(".") ? plain : String.format(java.util.Locale.ROOT, "%,d", Long.parseLong(plain));
+        return plain.contains(".") ? plain : String.format(Locale.ROOT, "%,d", Long.parseLong(plain));
     }
 
     private void tell(String what) {
--- a/src/test/java/saffronferry/scale/fit/CapacityPageTest.java
+++ b/src/test/java/saffronferry/scale/fit/CapacityPageTest.java
@@ -8,7 +8,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
@@ -60,10 +59,13 @@
         Map<String, ResultFile> read = new HashMap<>();
         Function<String, ResultFile> results = name -> read.computeIfAbsent(name,
                 n -> new ResultFile(n, read(RESULTS.resolve(n))));
-        CapacityPage page = new CapacityPage(PAGE.toString(), read(PAGE), results, file -> read(Path.of(file)));
+        CapacityPage page = new CapacityPage(PAGE.toString(), read(PAGE), results,
+                file -> read(Path.of(file)));
         List<String> wrong = page.wrong();
         assertEquals("", String.join("\n", wrong));
-        assertTrue(page.figures() >= 20 && page.rows() >= 20, page.figures() + " figures, " + page.rows() + " rows");
+        // guards against tables that are no longer taken for tables
+        assertTrue(page.figures() >= 100 && page.rows() >= 30,
+                page.figures() + " figures, " + page.rows() + " rows");
     }
 
     @Test
@@ -74,43 +76,41 @@
     /** Each change alone is found, and told with its line. */
     @Test
     void aFigureThatDriftsIsFound() {
-        Map<String, String> changes = new LinkedHashMap<>();
-        changes.put("| 12.0 |", "p line 5: at_10: says 12.1, is 12.0 (12.04)");
-        changes.put("| 162.0 ±", "p line 6: at_160: says 162.1, is 162.0");
-        changes.put("± 1.1", "p line 6: at_160 half width: says 1.2, is 1.1");
-        changes.put("| line |", "p line 6: at_160 best form: says n log n, is line");
-        changes.put("10 to 80", "p line 6: at_160 measured over: says 10 to 90, is 10 to 80");
-        changes.put("2.0 times", "p line 6: at_160 stretch: says stretched 2.1 times, is stretched 2.0 times");
-        changes.put("| 112 |", "p line 4: word: says 113, is 112 (112.0)");
-        changes.put("83,076", "p line 10: near need: says 83,077, is 83076 (83076.0)");
-        changes.put("`rate * 10` | 1.20", "p line 10: near ratio: says 1.21, is 1.20");
-        changes.put("| `at_160` | stretched |", "p line 11: far: range says measured, but a figure of it is stretched");
-        changes.put("`at_10 * rate`", "p line 10: near: at_11 is no figure above");
-        changes.put("| 1 | far | 1.45 |", "p line 16: rank 1 is far, not near");
-        Map<String, String> instead = Map.of("| 12.0 |", "| 12.1 |", "| 162.0 ±", "| 162.1 ±", "± 1.1", "± 1.2",
-                "| line |", "| n log n |", "10 to 80", "10 to 90", "2.0 times", "2.1 times", "| 112 |", "| 113 |");
-        Map<String, String> more = Map.of("83,076", "83,077", "`rate * 10` | 1.20", "`rate * 10` | 1.21",
-                "| `at_160` | stretched |", "| `at_160` | measured |", "`at_10 * rate`", "`at_11 * rate`",
-                "| 1 | far | 1.45 |", "| 1 | near | 1.20 |");
-        changes.forEach((what, told) -> {
-            String by = instead.getOrDefault(what, more.get(what));
-            assertTrue(SMALL.contains(what), what);
-            List<String> wrong = wrong(SMALL.replace(what, by), RESULT);
-            assertTrue(!wrong.isEmpty() && wrong.get(0).startsWith(told), what + ": " + wrong);
-        });
+        String[][] changes = {
+            {"| 12.0 |", "| 12.1 |", "p line 5: at_10: says 12.1, is 12.0 (12.04)"},
+            {"| 162.0 ±", "| 162.1 ±", "p line 6: at_160: says 162.1, is 162.0"},
+            {"± 1.1", "± 1.2", "p line 6: at_160 half width: says 1.2, is 1.1"},
+            {"| line |", "| n log n |", "p line 6: at_160 best form: says n log n, is line"},
+            {"10 to 80", "10 to 90", "p line 6: at_160 measured over: says 10 to 90, is 10 to 80"},
+            {"2.0 times", "2.1 times", "p line 6: at_160 stretch: says stretched 2.1 times, is"},
+            {"| 112 |", "| 113 |", "p line 4: word: says 113, is 112 (112.0)"},
+            {"83,076", "83,077", "p line 10: near need: says 83,077, is 83076 (83076.0)"},
+            {"`rate * 10` | 1.20", "`rate * 10` | 1.21", "p line 10: near ratio: says 1.21, is 1.20"},
+            {"| `at_160` | stretched |", "| `at_160` | measured |", "p line 11: far: range says measured"},
+            {"`at_10 * rate`", "`at_11 * rate`", "p line 10: near: at_11 is no figure above"},
+            {"| 1 | far | 1.45 |", "| 1 | near | 1.20 |", "p line 16: rank 1 is far, not near"},
+        };
+        for (String[] change : changes) {
+            assertTrue(SMALL.contains(change[0]), change[0]);
+            List<String> wrong = wrong(SMALL.replace(change[0], change[1]), RESULT);
+            assertTrue(!wrong.isEmpty() && wrong.get(0).startsWith(change[2]), change[0] + ": " + wrong);
+        }
     }
 
     @Test
     void aResultThatDriftsIsFound() {
-        assertTrue(wrong(SMALL, RESULT.replace("12.04", "12.06")).get(0).startsWith("p line 5: at_10: says 12.0"));
-        assertTrue(wrong(SMALL, RESULT.replace("82}", "89}")).get(0).startsWith("p line 6: at_160: says 162.0"));
+        assertTrue(wrong(SMALL, RESULT.replace("12.04", "12.06")).get(0)
+                .startsWith("p line 5: at_10: says 12.0"));
+        assertTrue(wrong(SMALL, RESULT.replace("82}", "89}")).get(0)
+                .startsWith("p line 6: at_160: says 162.0"));
     }
 
     @Test
     void whatIsNoFigureIsTold() {
-        assertEquals("p line 5: r.json: plays: none with {n=11}", wrong(SMALL.replace("n=10`", "n=11`"), RESULT).get(0));
-        assertEquals("p line 3: rate: source hearsay is neither a result's, the code's, the letter's nor assumed",
-                wrong(SMALL.replace("letter", "hearsay"), RESULT).get(0));
+        assertEquals("p line 5: r.json: plays: none with {n=11}",
+                wrong(SMALL.replace("n=10`", "n=11`"), RESULT).get(0));
+        assertEquals("p line 3: rate: source hearsay is neither a result's, the code's, the letter's nor "
+                + "assumed", wrong(SMALL.replace("letter", "hearsay"), RESULT).get(0));
         assertEquals("p line 12: gangs ratio: says 0, is -",
                 wrong(SMALL.replace("128 | - |", "128 | 0 |"), RESULT).get(0));
     }
--- a/src/test/java/saffronferry/scale/fit/FitTest.java
+++ b/src/test/java/saffronferry/scale/fit/FitTest.java
@@ -47,7 +47,7 @@
         });
     }
 
-    /** Three plays a size, each off by 4 at most of some 600: the form is found, the truth in the interval. */
+    /** Three plays a size, each off by 4 of some 600: the form is found, the truth in the interval. */
     @Test
     void noiseHidesNeitherTheFormNorTheTruth() {
         DoubleUnaryOperator line = n -> 20 + 3 * n;
--- a/src/test/java/saffronferry/scale/fit/SourceTest.java
+++ b/src/test/java/saffronferry/scale/fit/SourceTest.java
@@ -54,7 +54,8 @@
     @Test
     void aBrokenFileIsToldWithItsLineOrKey() {
         assertTrue(assertThrows(IllegalArgumentException.class,
-                () -> new ResultFile("r.json", "{\n\"plays\": [}")).getMessage().matches("r\\.json: .*line 2.*"));
+                () -> new ResultFile("r.json", "{\n\"plays\": [}")).getMessage()
+                .matches("r\\.json: .*line 2.*"));
         assertTrue(assertThrows(IllegalArgumentException.class, () -> new ResultFile("r.json", "{}"))
                 .getMessage().matches("r\\.json: .*\"plays\".*"));
         ResultFile none = new ResultFile("r.json", "{\"plays\": [{\"workers\": 3}]}");
