--- a/src/main/java/saffronferry/wire/SubchannelClient.java
+++ b/src/main/java/saffronferry/wire/SubchannelClient.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import saffronferry.Contract.Outcome;
@@ -54,7 +55,10 @@
         int connectMs = (int) Math.max(1, Math.round(connectTimeout * 1000));
         dialMs = connectMs + DIAL_SLACK_MS;
         HttpClient client = vertx.httpClientBuilder().with(new HttpClientOptions().setKeepAlive(false)
-                .setMaxPoolSize(MOST_CONNECTIONS).setTcpNoDelay(true).setConnectTimeout(connectMs))
+                .setTcpNoDelay(true).setConnectTimeout(connectMs))
+                // danger: the builder does not read the options' own most, and takes five: what is beyond would
+                // wait inside the library, unseen, for as long as the jobs before it take
+                .with(new PoolOptions().setHttp1MaxSize(MOST_CONNECTIONS))
                 // guards the log: the attempt hears of a broken connection itself
                 .withConnectHandler(connection -> connection.exceptionHandler(e -> { }))
                 .build();
--- a/src/test/java/saffronferry/lifecycle/RulesOnSocketsTest.java
+++ b/src/test/java/saffronferry/lifecycle/RulesOnSocketsTest.java
@@ -313,4 +313,27 @@
         assertEquals(200, get(before).statusCode());
         assertTrue(process.waitFor(5, TimeUnit.SECONDS));
     }
+
+    /** A worker with room for more has more at once; beyond five they waited inside the library for the first to end. */
+    @Test
+    public void aWorkerWithManySlotsHasManyRpcsAtOnce() throws Exception {
+        b.close();
+        members(entry("a", a.address(), 1, "SERVING", 0));
+        a.load = "x0=20,x1=20";
+        start();
+        await(() -> { // until what it tells has been learned
+            try {
+                return get(ask("directory-page", 3000)).statusCode() == 200;
+            } catch (Exception e) {
+                return false;
+            }
+        });
+        int before = a.requests.size();
+        a.script = Peer::keepSilent;
+        List<CompletableFuture<HttpResponse<String>>> all = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            all.add(gift(20_000));
+        }
+        await(() -> a.requests.size() == before + 12);
+    }
 }
