scale: hollow dispatchers with the real module, lists read from bytes, their cost

Need: what a dispatcher costs at 750 beside 21,000 workers is known from single slopes only; the laboratory hands lists over as objects and tells one mean of all decisions.

Ruled out: a world of its own, since the laboratory's has network, troubles and rule checker already. Its brains can be wrapped (World.Wrap, by dispatcher); HollowBrain stands there, makes each line of the list bytes once, has each dispatcher read them by ListParser as serve does, and takes down control bytes by kind and second and the thread's processor time by kind of event (ThreadMXBean; the cost of a look is measured first and left out).

Scenarios: fleet.regions; troubles rack_loss and region_loss (its dispatchers too); peer_cut between regions. Draws keep their list of shapes, so that seeds draw what they drew.

--- a/src/main/java/saffronferry/cli/Main.java
+++ b/src/main/java/saffronferry/cli/Main.java
@@ -9,7 +9,8 @@
 /** The command line. {@code serve} and {@code adapter} go their way before any of it is loaded. */
 @Command(name = "saffronferry", mixinStandardHelpOptions = true, version = "saffronferry 0.1.0",
         scope = ScopeType.INHERIT, subcommands = {Main.ServeCommand.class, Main.AdapterCommand.class,
-            ConfigCommand.class, LabCommand.class, RigCommand.class, GenerateCompletion.class},
+            ConfigCommand.class, LabCommand.class, RigCommand.class, ScaleCommand.class,
+            GenerateCompletion.class},
         description = "A dispatcher that pushes jobs to workers, its laboratory and its fault rig.",
         exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:done", "1:cannot run",
             "2:bad usage or configuration", "3:a rule or a bound was broken"})
--- a/src/main/java/saffronferry/lab/scenario/Draw.java
+++ b/src/main/java/saffronferry/lab/scenario/Draw.java
@@ -15,6 +15,8 @@
     private static final long LONGEST = 8_000_000;
     private static final double[] LOSSES = {1, 1, 0.7, 0.4, 0.1};
     private static final double MOST_PART = 0.7;
+    /** A list of its own: a shape more among those that can be written must not change what seeds draw. */
+    private static final List<String> SHAPES = List.of("all", "half", "alone", "mute", "deaf");
 
     /** What is drawn for a seed in a scenario of that length, in order of time. */
     List<Trouble> of(long seed, long length, List<String> zones, List<String> tenants) {
@@ -44,8 +46,7 @@
     }
 
     private static Link link(SplittableRandom random) {
-        List<String> shapes = ScenarioReader.SHAPES;
-        return new Link(shapes.get(random.nextInt(shapes.size())), random.nextInt(4) == 0,
+        return new Link(SHAPES.get(random.nextInt(SHAPES.size())), random.nextInt(4) == 0,
                 LOSSES[random.nextInt(LOSSES.length)], random.nextInt(3) == 0 ? 1 : 0,
                 random.nextInt(3) == 0 ? 500_000 : 0, random.nextInt(3) == 0 ? 1_000_000 : 0);
     }
--- a/src/main/java/saffronferry/lab/scenario/PeerLinks.java
+++ b/src/main/java/saffronferry/lab/scenario/PeerLinks.java
@@ -14,12 +14,14 @@
 public final class PeerLinks {
     private final List<Trouble> cuts;
     private final int dispatchers;
+    private final Scenario scenario;
     private final long start;
 
     /** The troubles' times count from {@code start}, in microseconds. */
     public PeerLinks(Scenario scenario, long start) {
         cuts = scenario.troubles().stream().filter(t -> t.kind().equals("peer_cut")).toList();
         dispatchers = scenario.dispatchers();
+        this.scenario = scenario;
         this.start = start;
     }
 
@@ -58,10 +60,16 @@
             case "alone" -> oneWay ? from < first && to >= first : from < first != to < first;
             case "mute" -> from < first;
             case "deaf" -> to < first;
+            case "regions" -> region(from) != region(to) && (!oneWay || from < to);
             default -> !oneWay || from < to;
         };
     }
 
+    /** Dispatchers are dealt out over the zones in turn. */
+    private int region(int dispatcher) {
+        return scenario.regionOf(dispatcher % scenario.zones().size());
+    }
+
     private boolean below(int dispatcher) {
         return dispatcher < (dispatchers + 1) / 2;
     }
--- a/src/main/java/saffronferry/lab/scenario/Scenario.java
+++ b/src/main/java/saffronferry/lab/scenario/Scenario.java
@@ -13,7 +13,7 @@
                        List<Kind> kinds, List<RpcClass> classes, List<Tenant> tenants, Load load,
                        Clients clients,
                        Network network, Discovery discovery, Reports reports, Rules rules, Prices prices,
-                       List<Trouble> troubles, Draw draw, Bounds bounds) {
+                       List<Trouble> troubles, Draw draw, Bounds bounds, int regions, Limits limits) {
 
     /** A kind of worker: {@code speed} 1 does a second of work in a second on one core. */
     public record Kind(String name, double share, int cores, double speed, double speedCv, int slots,
@@ -89,7 +89,8 @@
     /** The same with other figures of the rules. */
     public Scenario with(Rules other) {
         return new Scenario(name, length, zones, workers, cellSize, dispatchers, kinds, classes, tenants,
-                load, clients, network, discovery, reports, other, prices, troubles, draw, bounds);
+                load, clients, network, discovery, reports, other, prices, troubles, draw, bounds, regions,
+                limits);
     }
 
     /** As it is played with a seed: with the troubles that are drawn from it. */
@@ -97,7 +98,13 @@
         List<Trouble> all = new ArrayList<>(troubles);
         all.addAll(draw.of(seed, length, zones, tenants.stream().map(Tenant::name).toList()));
         return new Scenario(name, length, zones, workers, cellSize, dispatchers, kinds, classes, tenants,
-                load, clients, network, discovery, reports, rules, prices, List.copyOf(all), draw, bounds);
+                load, clients, network, discovery, reports, rules, prices, List.copyOf(all), draw, bounds,
+                regions, limits);
+    }
+
+    /** Zones lie in regions in their order, each region as many as the others, as far as that goes. */
+    public int regionOf(int zone) {
+        return (int) ((long) zone * regions / zones.size());
     }
 
     /** The mean work of a request in microseconds at speed 1. */
--- a/src/main/java/saffronferry/lab/scenario/ScenarioReader.java
+++ b/src/main/java/saffronferry/lab/scenario/ScenarioReader.java
@@ -36,9 +36,9 @@
     public static final List<String> TROUBLES = List.of("slow", "hung", "crash", "zone_loss", "deploy",
             "replace", "dispatcher_restart", "dispatcher_stop", "dispatcher_term", "dispatcher_hup",
             "tenant_burst", "stale_reports", "discovery_outage", "list_withheld", "list_disorder",
-            "peer_cut");
+            "peer_cut", "rack_loss", "region_loss");
     /** Between whom datagrams are troubled. */
-    public static final List<String> SHAPES = List.of("all", "half", "alone", "mute", "deaf");
+    public static final List<String> SHAPES = List.of("all", "half", "alone", "mute", "deaf", "regions");
 
     private final List<Problem> problems = new ArrayList<>();
     private final List<Section.Value> values = new ArrayList<>();
@@ -126,6 +126,7 @@
         long length = micros(top.number("length_s", 50, 1, 36_000, "seconds"));
         Section fleet = top.section("fleet");
         List<String> zones = fleet.texts("zones", List.of("dub-north", "dub-south"));
+        int regions = fleet.whole("regions", 1, 1, zones.size(), "regions, each of as many zones");
         int workers = fleet.whole("workers", 8, 1, 100_000, "workers");
         int cell = fleet.whole("cell_size", 8, 1, 100_000, "workers in a cell");
         int dispatchers = fleet.whole("dispatchers", 2, 1, 1_000, "dispatchers");
@@ -152,7 +153,7 @@
                 reports(top.section("reports")),
                 rules(top.section("rules")), prices(top.section("prices")),
                 troubles(top, zones, tenants, length), draw(top.section("draw"), length),
-                bounds(top.section("bounds")));
+                bounds(top.section("bounds")), regions, limits(top.section("limits")));
         top.done();
         return result;
     }
@@ -288,6 +289,19 @@
         return b;
     }
 
+    private static Limits limits(Section s) {
+        Map<String, Double> stated = new HashMap<>();
+        Limits.FIGURES.forEach((figure, unit) -> {
+            double limit = s.number(figure, -1, 0, 1e12,
+                    unit + (Limits.isLeast(figure) ? ", at least" : ", at most") + "; -1 none");
+            if (limit >= 0) {
+                stated.put(figure, limit);
+            }
+        });
+        s.done();
+        return new Limits(stated);
+    }
+
     private Draw draw(Section s, long length) {
         Draw d = new Draw(s.whole("troubles", 0, 0, 100, "troubles drawn from each play's seed"),
                 s.texts("kinds", List.of("peer_cut")),
--- a/src/main/java/saffronferry/lab/world/Troubles.java
+++ b/src/main/java/saffronferry/lab/world/Troubles.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.ListSampler;
 import saffronferry.lab.scenario.Scenario.Trouble;
@@ -63,12 +64,15 @@
                 world.registry.changed(w, world.registry.settings().silentNotice());
                 restart(w);
             });
-            case "zone_loss" -> world.serving().stream()
-                    .filter(w -> w.zone == world.scenario.zones().indexOf(t.zone())).toList().forEach(w -> {
-                        w.crash();
-                        world.registry.changed(w, world.registry.settings().silentNotice());
-                        sim.after(t.length(), () -> up(w));
-                    });
+            case "zone_loss" -> lose(t, w -> w.zone == zone(t));
+            case "rack_loss" -> world.serving().stream().filter(w -> w.zone == zone(t)).findFirst()
+                    .ifPresent(first -> lose(t, w -> w.zone == first.zone && w.cell == first.cell));
+            case "region_loss" -> {
+                int region = world.scenario.regionOf(zone(t));
+                lose(t, w -> world.scenario.regionOf(w.zone) == region);
+                world.nodes().stream().filter(n -> world.scenario.regionOf(n.zone) == region)
+                        .forEach(n -> world.restart(n, t.length()));
+            }
             case "deploy" -> deploy(t, part(t.part(), random));
             case "dispatcher_restart" -> restartNodes(t, random);
             case "tenant_burst" -> burst(t, index);
@@ -95,6 +99,19 @@
         world.registry.changed(w, world.registry.settings().add());
     }
 
+    private int zone(Trouble t) {
+        return world.scenario.zones().indexOf(t.zone());
+    }
+
+    /** They are gone at once, and back cold when the trouble is over. */
+    private void lose(Trouble t, Predicate<Worker> which) {
+        world.serving().stream().filter(which).toList().forEach(w -> {
+            w.crash();
+            world.registry.changed(w, world.registry.settings().silentNotice());
+            sim.after(t.length(), () -> up(w));
+        });
+    }
+
     private int firstOf(Trouble t) {
         return (int) Math.max(1, Math.round(t.part() * world.nodes().size()));
     }
--- a/src/main/java/saffronferry/lab/world/World.java
+++ b/src/main/java/saffronferry/lab/world/World.java
@@ -33,6 +33,8 @@
     /** The module's clock: far from 0, which stands for long ago. */
     private static final long START = 1_000_000_000;
     private static final long SETTLE = 2_000_000;
+    /** When clients begin to ask, by the clock that brains are handed. */
+    public static final long DAY_STARTS = START + SETTLE;
     private static final long FALLEN = 5_000_000;
 
     final Scenario scenario;
@@ -49,10 +51,10 @@
     private final Map<Node, Long> downSince = new HashMap<>();
     private final double capacity;
     private final long seed;
-    private final UnaryOperator<Brain> wrap;
+    private final Wrap wrap;
     private int successors;
 
-    private World(Scenario scenario, Policy policy, long seed, UnaryOperator<Brain> wrap) {
+    private World(Scenario scenario, Policy policy, long seed, Wrap wrap) {
         this.scenario = scenario;
         this.seed = seed;
         this.wrap = wrap;
@@ -73,11 +75,21 @@
 
     /** Plays a day. */
     public static Day play(Scenario scenario, Policy policy, long seed) {
-        return play(scenario, policy, seed, UnaryOperator.identity());
+        return play(scenario, policy, seed, (brain, dispatcher) -> brain);
     }
 
     /** Plays a day with each brain wrapped, so that tests can sabotage it. */
     public static Day play(Scenario scenario, Policy policy, long seed, UnaryOperator<Brain> wrap) {
+        return play(scenario, policy, seed, (brain, dispatcher) -> wrap.apply(brain));
+    }
+
+    /** Stands between a dispatcher's brain, one for each of its lives, and its world. */
+    public interface Wrap {
+        Brain wrap(Brain brain, int dispatcher);
+    }
+
+    /** Plays a day with each brain wrapped, so that what passes can be measured. */
+    public static Day play(Scenario scenario, Policy policy, long seed, Wrap wrap) {
         long begun = System.nanoTime();
         World world = new World(scenario.drawn(seed), policy, seed, wrap);
         world.run();
@@ -175,10 +187,10 @@
 
     private Brain brain(Policy policy, int dispatcher, int life) {
         UniformRandomProvider random = streams.of("brain " + dispatcher, life);
-        return wrap.apply(policy.brain(settings(dispatcher, random.nextLong()), random, address -> {
+        return wrap.wrap(policy.brain(settings(dispatcher, random.nextLong()), random, address -> {
             Worker w = workers.get(address);
             return w == null ? Double.MAX_VALUE : w.load();
-        }));
+        }), dispatcher);
     }
 
     private Settings settings(int dispatcher, long brainSeed) {
--- /dev/null
+++ b/src/main/java/saffronferry/scale/Scale.java
@@ -0,0 +1,154 @@
+package saffronferry.scale;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.LongConsumer;
+import org.json.JSONArray;
+import org.json.JSONObject;
+import saffronferry.lab.check.RuleChecker;
+import saffronferry.lab.policy.Policy;
+import saffronferry.lab.scenario.Limits;
+import saffronferry.lab.scenario.Scenario;
+import saffronferry.lab.world.World;
+import saffronferry.lab.world.World.Day;
+import saffronferry.scale.Meter.Account;
+import saffronferry.scale.Meter.Event;
+import saffronferry.scale.Meter.Kind;
+
+/** Plays a scenario with hollow dispatchers and says what each of them costs. */
+public final class Scale {
+    /** Rules that were broken, told in full. */
+    private static final int MOST_TOLD = 3;
+
+    private Scale() { }
+
+    /**
+     * A play and its figures, by name.
+     *
+     * @param set the keys that a sweep has set other than the numbers of dispatchers and workers, as written
+     * @param broken the limits and rules that were broken, a line each
+     */
+    public record Play(Scenario scenario, Map<String, String> set, Map<String, Double> figures,
+                       List<String> broken) {
+        /** As the result file has it. */
+        public JSONObject json() {
+            JSONObject json = new JSONObject().put("dispatchers", scenario.dispatchers())
+                    .put("workers", scenario.workers()).put("zones", scenario.zones().size())
+                    .put("seconds", scenario.length() / 1e6).put("figures", new JSONObject(figures))
+                    .put("limits", new JSONObject(scenario.limits().stated()))
+                    .put("broken", new JSONArray(broken));
+            return set.isEmpty() ? json : json.put("set", new JSONObject(set));
+        }
+    }
+
+    /** A sweep's result. */
+    public static JSONObject json(String scenario, long seed, List<Play> plays) {
+        JSONArray all = new JSONArray();
+        plays.forEach(play -> all.put(play.json()));
+        return new JSONObject().put("scenario", scenario).put("seed", seed).put("plays", all);
+    }
+
+    /**
+     * Plays it. Figures of time and heap hang on the machine; all others are the same for the same seed.
+     *
+     * @param progress told the seconds of the day reached; below 0 before the first request
+     */
+    public static Play play(Scenario scenario, Map<String, String> set, long seed, LongConsumer progress) {
+        Meter meter = new Meter(scenario, now -> progress.accept((now - World.DAY_STARTS) / 1_000_000));
+        Day day = World.play(scenario, Policy.NETWORKED_QUEUES, seed, meter);
+        Map<String, Double> figures = figures(scenario, meter, day);
+        weigh(meter, figures);
+        figures.replaceAll((name, value) -> rounded(value));
+        return new Play(scenario, set, figures, broken(scenario, figures, day));
+    }
+
+    private static double rounded(double value) {
+        double unit = Math.abs(value) >= 100 ? 10 : 10_000;
+        return Math.round(value * unit) / unit;
+    }
+
+    private static Map<String, Double> figures(Scenario scenario, Meter meter, Day day) {
+        List<Account> all = meter.accounts;
+        double each = all.size() * (scenario.length() / 1e6);
+        double requests = Math.max(1, day.requests());
+        Map<String, Double> figures = new LinkedHashMap<>();
+        for (Event event : Event.values()) {
+            int e = event.ordinal();
+            figures.put(event.name().toLowerCase(Locale.ROOT) + "_us",
+                    all.stream().mapToLong(a -> a.nanos[e]).sum() / 1e3
+                    / Math.max(1, all.stream().mapToLong(a -> a.decisions[e]).sum()));
+        }
+        figures.put("list_parse_us", all.stream().mapToLong(a -> a.parseNanos).sum() / 1e3
+                / Math.max(1, all.stream().mapToLong(a -> a.parses).sum()));
+        double busy = all.stream().mapToLong(Account::busyNanos).sum();
+        double parsing = all.stream().mapToLong(a -> a.parseNanos).sum();
+        figures.put("decision_us_per_request", (busy - parsing) / 1e3 / requests);
+        figures.put("decision_core_percent", busy / 1e9 / each * 100);
+        figures.put("decision_core_worst_percent", all.stream().mapToLong(Account::busyNanos).max().orElse(0)
+                / 1e3 / scenario.length() * 100);
+        figures.put("messages_per_request", (sum(all, Kind.DATAGRAM_OUT, false)
+                + sum(all, Kind.PROBE_OUT, false)) / requests);
+        figures.put("requests_per_s", day.requests() / (scenario.length() / 1e6));
+        figures.put("datagrams_out_per_s", sum(all, Kind.DATAGRAM_OUT, false) / each);
+        figures.put("probes_out_per_s", sum(all, Kind.PROBE_OUT, false) / each);
+        figures.put("lists_in_per_s", sum(all, Kind.LIST_IN, false) / each);
+        for (Kind kind : Kind.values()) {
+            String name = kind.name().toLowerCase(Locale.ROOT).replace("_", "_bytes_") + "_per_s";
+            figures.put(name, sum(all, kind, true) / each);
+        }
+        figures.put("settings_bytes_per_s", 0.0);
+        figures.put("control_bytes_per_s", all.stream().mapToLong(Account::controlBytes).sum() / each);
+        figures.put("control_bytes_worst_per_s", (double) all.stream().flatMapToLong(a ->
+                Arrays.stream(a.bytesBySecond)).max().orElse(0));
+        figures.put("start_control_bytes", all.stream().mapToLong(a -> a.startBytes).average().orElse(0));
+        figures.put("goal_share", day.goal());
+        figures.put("served_share", day.json().getDouble("worth_served"));
+        figures.put("cold_used_share", day.json().getDouble("cold_used"));
+        figures.put("cold_multiple", day.json().getDouble("cold_multiple"));
+        return figures;
+    }
+
+    private static double sum(List<Account> all, Kind kind, boolean bytes) {
+        return all.stream().mapToLong(a -> (bytes ? a.bytes : a.messages)[kind.ordinal()]).sum();
+    }
+
+    /** After the play its world is gone: what is left of the heap is let go of part by part. */
+    private static void weigh(Meter meter, Map<String, Double> figures) {
+        double both = Heap.usedMb();
+        int lists = meter.dropLists();
+        double modules = Heap.usedMb();
+        meter.dropModules();
+        double nothing = Heap.usedMb();
+        double module = Math.max(0, modules - nothing) / meter.accounts.size();
+        double list = Math.max(0, both - modules) / Math.max(1, lists);
+        figures.put("heap_mb_per_dispatcher", module + list);
+        figures.put("module_heap_mb_per_dispatcher", module);
+        figures.put("list_heap_mb_per_dispatcher", list);
+    }
+
+    private static List<String> broken(Scenario scenario, Map<String, Double> figures, Day day) {
+        List<String> broken = new ArrayList<>();
+        Limits.FIGURES.keySet().stream().filter(scenario.limits().stated()::containsKey).forEach(name -> {
+            double limit = scenario.limits().stated().get(name);
+            double seen = figures.get(name);
+            boolean least = Limits.isLeast(name);
+            if (least ? seen < limit : seen > limit) {
+                broken.add(name + " " + plain(seen) + (least ? " under " : " over ") + plain(limit));
+            }
+        });
+        day.broken().stream().limit(MOST_TOLD).map(RuleChecker.Broken::toString)
+                .forEach(b -> broken.add(b.lines().findFirst().orElse("")));
+        if (day.brokenInAll() > MOST_TOLD) {
+            broken.add("rules broken in all: " + day.brokenInAll());
+        }
+        return broken;
+    }
+
+    private static String plain(double value) {
+        return value == Math.rint(value) ? Long.toString((long) value) : Double.toString(value);
+    }
+}
--- a/src/test/java/saffronferry/BoundariesTest.java
+++ b/src/test/java/saffronferry/BoundariesTest.java
@@ -57,12 +57,22 @@
                 .check(ALL);
     }
 
+    /** Hollow dispatchers have the real module and the real reading of lists, and no socket. */
+    @Test
+    void hollowDispatchersKnowNoSocketAndNobodyKnowsThemButTheCommandLine() {
+        noClasses().that().resideInAPackage("saffronferry.scale").should().dependOnClassesThat()
+                .resideInAnyPackage("io..", "java.net..", "saffronferry.lifecycle..", "saffronferry.rig..",
+                        "saffronferry.cli..", "saffronferry.limit..", "saffronferry.ops..").check(ALL);
+        noClasses().that().resideInAPackage("saffronferry.lab..").should().dependOnClassesThat()
+                .resideInAnyPackage("saffronferry.scale..").check(ALL);
+    }
+
     @Test
     void whatServeLoadsDependsOnNothingOfTheLaboratory() {
         noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.ops", "saffronferry.log",
                 "saffronferry.settings", "saffronferry.state", "saffronferry.wire", "saffronferry.lifecycle",
                 "saffronferry.adapter").should().dependOnClassesThat().resideInAnyPackage("saffronferry.lab..",
-                "saffronferry.rig..", "saffronferry.cli..", "picocli..", "org.tomlj..", "org.HdrHistogram..", "org.apache.commons..")
+                "saffronferry.scale..", "saffronferry.rig..", "saffronferry.cli..", "picocli..", "org.tomlj..", "org.HdrHistogram..", "org.apache.commons..")
                 .check(ALL);
     }
 }
--- a/src/test/java/saffronferry/cli/MainTest.java
+++ b/src/test/java/saffronferry/cli/MainTest.java
@@ -1,15 +1,22 @@
 package saffronferry.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import org.json.JSONArray;
+import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** The command line's exit codes, and what it leaves. */
 class MainTest {
+    private static final String SMALL = "examples/scale/deploy.toml";
+    private static final String CHEAP = " --set length_s=2 --set trouble[0].at_s=1";
+
     @TempDir
     private Path dir;
 
@@ -26,6 +33,10 @@
             {0, "lab sweep examples/lab/alumni-hosting.toml --set load.share=0.2,0.3 --seeds 1"},
             {2, "lab sweep examples/lab/alumni-hosting.toml --set load.shar=0.2"},
             {2, "lab sweep examples/lab/alumni-hosting.toml --set load.share=much"},
+            {2, "scale"}, {2, "scale " + bad}, {1, "scale " + dir.resolve("none.toml")},
+            {2, "scale " + SMALL + " --set fleet.dispatcher=4"}, {2, "scale " + SMALL + " --set fleet.dispatchers"},
+            {2, "scale " + SMALL + " --set fleet.dispatchers=4,many"},
+            {0, "scale " + SMALL + CHEAP}, {3, "scale " + SMALL + CHEAP + " --set limits.control_bytes_per_s=1"},
         };
         for (Object[] c : cases) {
             assertEquals(c[0], Main.execute(((String) c[1]).split(" ")), (String) c[1]);
@@ -39,4 +50,26 @@
         String json = Files.readString(dir.resolve("result.json"));
         assertTrue(json.contains("\"policy\": \"two-choices\"") && json.contains("\"schema\": 1"), json);
     }
+
+    /** One file for all plays of a sweep, every pairing in it, and what is wrong with a scenario by its place. */
+    @Test
+    void aSweepOfScaleLeavesOneFile() throws Exception {
+        Path out = dir.resolve("scale.json");
+        assertEquals(0, Main.execute("scale", SMALL, "--set", "fleet.dispatchers=2,4", "--set", "load.share=0.2,0.4",
+                "--set", "length_s=2", "--set", "trouble[0].at_s=1", "--seed", "7", "--out", out.toString()));
+        JSONObject json = new JSONObject(Files.readString(out));
+        assertEquals(SMALL, json.getString("scenario"));
+        assertEquals(7, json.getInt("seed"));
+        JSONArray plays = json.getJSONArray("plays");
+        assertEquals(4, plays.length());
+        assertEquals(4, plays.getJSONObject(2).getInt("dispatchers"));
+        assertEquals("0.4", plays.getJSONObject(3).getJSONObject("set").getString("load.share"));
+        assertTrue(plays.getJSONObject(3).getJSONObject("figures").getDouble("datagram_bytes_out_per_s") > 0);
+
+        Path bad = Files.writeString(dir.resolve("limits.toml"), "[limits]\npick_us = 3\ncontrol_byte_per_s = 3\n");
+        IllegalArgumentException wrong = assertThrows(IllegalArgumentException.class, () ->
+                LabCommand.read(bad, List.of()));
+        assertTrue(wrong.getMessage().contains("limits.toml:3:1: limits.control_byte_per_s: is no key"),
+                wrong.getMessage());
+    }
 }
--- /dev/null
+++ b/src/test/java/saffronferry/scale/ScaleTest.java
@@ -0,0 +1,211 @@
+package saffronferry.scale;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.json.JSONObject;
+import org.junit.jupiter.api.Test;
+import saffronferry.Contract.ListKind;
+import saffronferry.Contract.Request;
+import saffronferry.Contract.WorkerInfo;
+import saffronferry.Contract.WorkerState;
+import saffronferry.News;
+import saffronferry.Step;
+import saffronferry.lab.policy.Brain;
+import saffronferry.lab.policy.Policy;
+import saffronferry.lab.scenario.Limits;
+import saffronferry.lab.scenario.Scenario;
+import saffronferry.lab.scenario.ScenarioReader;
+import saffronferry.lab.world.World;
+
+/** Hollow dispatchers: what they read is bytes, what is counted is what was said, and limits are judged. */
+class ScaleTest {
+    private static final String SMALL = """
+            length_s = 3
+            [fleet]
+            zones = ["a", "b"]
+            workers = 12
+            dispatchers = 6
+            [[class]]
+            deadline_s = 1
+            [discovery]
+            calls_per_s = 100
+            """;
+
+    private static Scenario small(String more) throws Exception {
+        return ScenarioReader.parse("small.toml", SMALL + more);
+    }
+
+    private static Scale.Play play(Scenario scenario) {
+        return Scale.play(scenario, Map.of(), 1, second -> { });
+    }
+
+    private static List<WorkerInfo> workers() {
+        List<WorkerInfo> all = new ArrayList<>();
+        for (WorkerState state : WorkerState.values()) {
+            all.add(new WorkerInfo("10.0.0." + all.size() + ":9100", state, 0, all.size() % 2, 1_234_000, 7));
+        }
+        return all;
+    }
+
+    // ---- bytes and not objects ----
+
+    @Test
+    void aLineIsMadeOnceAndReadByEachFromItsBytes() throws Exception {
+        ListLines lines = new ListLines(small(""));
+        List<WorkerInfo> told = workers();
+        byte[] line = lines.line(told, ListKind.WHOLE);
+        assertSame(line, lines.line(List.copyOf(told), ListKind.WHOLE), "made once");
+        JSONObject json = new JSONObject(new String(line, StandardCharsets.UTF_8));
+        assertTrue(json.getBoolean("complete") && json.getJSONArray("members").length() == told.size());
+        assertEquals('\n', line[line.length - 1]);
+        List<WorkerInfo> read = lines.read(line).entries().stream().map(e -> e.info()).toList();
+        assertEquals(told, read);
+        List<WorkerInfo> again = lines.read(line).entries().stream().map(e -> e.info()).toList();
+        for (int i = 0; i < told.size(); i++) {
+            assertNotSame(told.get(i).address(), read.get(i).address());
+            assertNotSame(read.get(i).address(), again.get(i).address(), "each dispatcher has its own");
+        }
+        // one byte changed is another list
+        byte[] other = line.clone();
+        other[new String(line, StandardCharsets.UTF_8).indexOf("10.0.0.0") + 7] = '9';
+        assertEquals("10.0.0.9:9100", lines.read(other).entries().get(0).info().address());
+    }
+
+    /** Takes down what a module is told; says one datagram for each thing it is told. */
+    private static final class Scribe implements Brain {
+        final List<News> news = new ArrayList<>();
+
+        @Override
+        public List<Step> pick(long now, Request rpc) {
+            return List.of();
+        }
+
+        @Override
+        public List<Step> report(long now, News what) {
+            news.add(what);
+            return List.of(new Step.TellPeer(1, new byte[40]), new Step.Probe("10.0.0.1:9100"));
+        }
+
+        @Override
+        public List<Step> tick(long now, long token) {
+            return List.of();
+        }
+    }
+
+    @Test
+    void theModuleIsToldWhatWasReadAndWhatIsSaidIsCounted() throws Exception {
+        Meter meter = new Meter(small(""), now -> { });
+        Scribe scribe = new Scribe();
+        Brain hollow = meter.wrap(scribe, 0);
+        List<WorkerInfo> told = workers();
+        long now = World.DAY_STARTS + 1_500_000;
+        hollow.report(now, new News.Resolved(ListKind.CHANGES, told));
+        byte[] datagram = {1, 2, 3};
+        hollow.report(now, new News.PeerSaid(4, datagram));
+        hollow.report(now, new News.Resolved(ListKind.WARM_COPY, told));
+        List<WorkerInfo> seen = ((News.Resolved) scribe.news.get(0)).entries();
+        assertEquals(told, seen);
+        assertNotSame(told.get(0), seen.get(0));
+        assertArrayEquals(datagram, ((News.PeerSaid) scribe.news.get(1)).bytes());
+        Meter.Account account = meter.accounts.get(0);
+        assertEquals(meter.lines.line(told, ListKind.CHANGES).length,
+                account.bytes[Meter.Kind.LIST_IN.ordinal()], "a start's copy is from a file");
+        assertEquals(3, account.bytes[Meter.Kind.DATAGRAM_IN.ordinal()]);
+        assertEquals(120, account.bytes[Meter.Kind.DATAGRAM_OUT.ordinal()]);
+        assertEquals(3, account.messages[Meter.Kind.PROBE_OUT.ordinal()]);
+        assertEquals(account.controlBytes(), account.bytesBySecond[1]);
+        assertEquals(2, account.decisions[Meter.Event.LIST.ordinal()]);
+        assertEquals(0, meter.accounts.get(1).controlBytes());
+    }
+
+    /** What is before the first request, or after the last, is none of the day's. */
+    @Test
+    void onlyTheDayCounts() throws Exception {
+        Meter meter = new Meter(small(""), now -> { });
+        Brain hollow = meter.wrap(new Scribe(), 0);
+        hollow.report(World.DAY_STARTS - 1, new News.PeerSaid(1, new byte[10]));
+        hollow.report(World.DAY_STARTS + 3_000_000, new News.PeerSaid(1, new byte[10]));
+        Meter.Account account = meter.accounts.get(0);
+        assertEquals(0, account.controlBytes());
+        assertTrue(account.startBytes > 10, "told apart: " + account.startBytes);
+        assertEquals(0, account.decisions[Meter.Event.DATAGRAM.ordinal()]);
+    }
+
+    // ---- plays ----
+
+    /** All figures but those of time and heap are the seed's alone, and the day is the laboratory's. */
+    @Test
+    void aPlayIsTheSameForTheSameSeed() throws Exception {
+        Scenario scenario = small("[[trouble]]\nkind = \"replace\"\nat_s = 0.5\nsize = 1\n");
+        Map<String, Double> one = seedsOwn(play(scenario).figures());
+        assertEquals(one, seedsOwn(play(scenario).figures()));
+        assertNotEquals(one, seedsOwn(Scale.play(scenario, Map.of(), 2, second -> { }).figures()));
+        for (String figure : List.of("datagram_bytes_out_per_s", "datagram_bytes_in_per_s",
+                "list_bytes_in_per_s", "probe_bytes_out_per_s", "messages_per_request", "start_control_bytes")) {
+            assertTrue(one.get(figure) > 0, figure + " in " + one);
+        }
+        assertEquals(World.play(small(""), Policy.NETWORKED_QUEUES, 1).goal(),
+                play(small("")).figures().get("goal_share"), 0.0001);
+    }
+
+    private static Map<String, Double> seedsOwn(Map<String, Double> figures) {
+        Map<String, Double> own = new HashMap<>(figures);
+        own.keySet().removeIf(f -> f.endsWith("_us") || f.contains("core_percent") || f.contains("core_worst")
+                || f.contains("heap") || f.equals("decision_us_per_request"));
+        return own;
+    }
+
+    /** Each figure can have a limit, and is measured under that name. */
+    @Test
+    void everyFigureIsMeasuredUnderTheNameOfItsLimit() throws Exception {
+        assertEquals(Limits.FIGURES.keySet(), play(small("")).figures().keySet());
+    }
+
+    @Test
+    void limitsAreJudgedFromTheirSide() throws Exception {
+        Scale.Play play = play(small("[limits]\ncontrol_bytes_per_s = 10\ngoal_share = 1\ncold_multiple = 50\n"));
+        assertEquals(2, play.broken().size(), play.broken().toString());
+        assertTrue(play.broken().get(0).matches("control_bytes_per_s [0-9.]+ over 10"), play.broken().get(0));
+        assertTrue(play.broken().get(1).matches("goal_share 0\\.\\d+ under 1"), play.broken().get(1));
+        JSONObject json = Scale.json("small.toml", 1, List.of(play));
+        JSONObject first = json.getJSONArray("plays").getJSONObject(0);
+        assertEquals(10, first.getJSONObject("limits").getInt("control_bytes_per_s"));
+        assertEquals(6, first.getInt("dispatchers"));
+        assertEquals(3.0, first.getDouble("seconds"));
+    }
+
+    /** A region lost takes its dispatchers along and no other; it is felt, and no rule breaks. */
+    @Test
+    void aRegionLostAndRegionsCutApartBreakNoRule() throws Exception {
+        String lost = "[[trouble]]\nkind = \"region_loss\"\nat_s = 0.5\nlength_s = 1\nzone = \"b\"\n";
+        String cut = "[[trouble]]\nkind = \"peer_cut\"\nshape = \"regions\"\nat_s = 0\nlength_s = 3\n";
+        String rack = "[[trouble]]\nkind = \"rack_loss\"\nat_s = 0.5\nlength_s = 1\nzone = \"a\"\n";
+        double calm = figure(regions(""), "datagram_bytes_in_per_s");
+        double apart = figure(regions(cut), "datagram_bytes_in_per_s");
+        assertTrue(apart < calm, apart + " heard, uncut " + calm);
+        for (String trouble : List.of(lost, cut, rack)) {
+            assertEquals(List.of(), play(regions(trouble)).broken(), trouble);
+        }
+        double served = figure(regions(lost), "served_share");
+        assertTrue(served < figure(regions(""), "served_share"), "clients there meet nobody: " + served);
+    }
+
+    private static Scenario regions(String trouble) throws Exception {
+        return ScenarioReader.parse("regions.toml", SMALL.replace("[fleet]\n", "[fleet]\nregions = 2\n") + trouble);
+    }
+
+    private static double figure(Scenario scenario, String name) {
+        return play(scenario).figures().get(name);
+    }
+}
