--- a/src/main/java/saffronferry/lab/check/RuleChecker.java
+++ b/src/main/java/saffronferry/lab/check/RuleChecker.java
@@ -81,6 +81,8 @@
     private final Map<String, Deque<Arrival>> arrivals = new HashMap<>();
     private final Map<Integer, Map<String, Long>> bans = new HashMap<>();
     private final List<Broken> broken = new ArrayList<>();
+    /** The one made last: a list tells thousands the same at one time, and hundreds hear it. */
+    private Told last = new Told(WorkerState.GONE, Long.MIN_VALUE);
     private double mostCold;
     private int count;
     private int judged;
@@ -234,7 +236,12 @@
     public void told(long now, int dispatcher, String worker, WorkerState state) {
         told.computeIfAbsent(dispatcher, d -> new HashMap<>()).compute(worker, (w, old) ->
                 old != null && old.state != WorkerState.IN_SERVICE && state != WorkerState.IN_SERVICE ? old
-                        : new Told(state, now));
+                        : same(state, now));
+    }
+
+    private Told same(WorkerState state, long now) {
+        last = last.state == state && last.at == now ? last : new Told(state, now);
+        return last;
     }
 
     /** A dispatcher is told a whole list: who is not in it is gone. */
--- a/src/main/java/saffronferry/scale/HollowBrain.java
+++ b/src/main/java/saffronferry/scale/HollowBrain.java
@@ -77,7 +77,7 @@
     private List<Step> listed(long now, News.Resolved resolved) {
         byte[] line = meter.lines.line(resolved.entries(), resolved.kind());
         if (resolved.kind() != ListKind.WARM_COPY) {
-            meter.said(account, Kind.LIST_IN, line.length, now);
+            meter.listed(account, resolved.kind() == ListKind.WHOLE, line.length, now);
         }
         long begun = meter.clock.now();
         ListUpdate update = meter.lines.read(line);
--- a/src/main/java/saffronferry/scale/Meter.java
+++ b/src/main/java/saffronferry/scale/Meter.java
@@ -25,6 +25,9 @@
         long parses;
         long parseNanos;
         long startBytes;
+        long wholeListBytes;
+        /** Whether its first whole list has come: that belongs to its start, however late it is. */
+        boolean begun;
 
         Account(int seconds) {
             bytesBySecond = new long[seconds];
@@ -79,6 +82,17 @@
         return now >= World.DAY_STARTS && now < ends;
     }
 
+    /** A line of the list has come; the first whole one of a dispatcher's first life is its start's. */
+    void listed(Account account, boolean whole, int bytes, long now) {
+        if (whole && !account.begun) {
+            account.begun = true;
+            account.startBytes += bytes;
+        } else {
+            account.wholeListBytes += whole && counts(now) ? bytes : 0;
+            said(account, Kind.LIST_IN, bytes, now);
+        }
+    }
+
     void said(Account account, Kind kind, int bytes, long now) {
         if (counts(now)) {
             account.messages[kind.ordinal()]++;
--- a/src/main/java/saffronferry/scale/Scale.java
+++ b/src/main/java/saffronferry/scale/Scale.java
@@ -100,6 +100,7 @@
             String name = kind.name().toLowerCase(Locale.ROOT).replace("_", "_bytes_") + "_per_s";
             figures.put(name, sum(all, kind, true) / each);
         }
+        figures.put("whole_list_bytes_in_per_s", all.stream().mapToLong(a -> a.wholeListBytes).sum() / each);
         figures.put("settings_bytes_per_s", 0.0);
         figures.put("control_bytes_per_s", all.stream().mapToLong(Account::controlBytes).sum() / each);
         figures.put("control_bytes_worst_per_s", (double) all.stream().flatMapToLong(a ->
--- a/src/test/java/saffronferry/scale/ScaleTest.java
+++ b/src/test/java/saffronferry/scale/ScaleTest.java
@@ -129,6 +129,23 @@
         assertEquals(0, meter.accounts.get(1).controlBytes());
     }
 
+    /** The first whole list belongs to the start, however late it comes; the next one is the day's. */
+    @Test
+    void theFirstWholeListIsTheStartsAndNoOther() throws Exception {
+        Meter meter = new Meter(small(""), now -> { });
+        Brain hollow = meter.wrap(new Scribe(), 0);
+        Meter.Account account = meter.accounts.get(0);
+        int whole = meter.lines.line(workers(), ListKind.WHOLE).length;
+        for (int time = 0; time < 2; time++) {
+            assertEquals(0, account.bytes[Meter.Kind.LIST_IN.ordinal()]);
+            hollow = time == 0 ? hollow : meter.wrap(new Scribe(), 0); // a restart
+            hollow.report(World.DAY_STARTS + 1, new News.Resolved(ListKind.WHOLE, workers()));
+        }
+        assertEquals(whole, account.bytes[Meter.Kind.LIST_IN.ordinal()]);
+        assertEquals(whole, account.wholeListBytes);
+        assertEquals(whole, account.startBytes);
+    }
+
     /** What is before the first request, or after the last, is none of the day's. */
     @Test
     void onlyTheDayCounts() throws Exception {
