--- a/src/main/java/saffronferry/scale/HollowBrain.java
+++ b/src/main/java/saffronferry/scale/HollowBrain.java
@@ -82,10 +82,7 @@
         long begun = meter.clock.now();
         ListUpdate update = meter.lines.read(line);
         List<WorkerInfo> entries = update.entries().stream().map(ListUpdate.Entry::info).toList();
-        if (meter.counts(now)) {
-            account.parses++;
-            account.parseNanos += meter.clock.since(begun);
-        }
+        meter.read(account, meter.clock.since(begun), now);
         keep(update);
         return decide(Event.LIST, now, () -> module.report(now, new News.Resolved(resolved.kind(), entries)));
     }
@@ -109,10 +106,7 @@
     private List<Step> decide(Event event, long now, Supplier<List<Step>> decision) {
         long begun = meter.clock.now();
         List<Step> steps = decision.get();
-        if (meter.counts(now)) {
-            account.nanos[event.ordinal()] += meter.clock.since(begun);
-            account.decisions[event.ordinal()]++;
-        }
+        meter.took(account, event, meter.clock.since(begun), now);
         for (Step step : steps) {
             if (step instanceof Step.TellPeer told) {
                 meter.said(account, Kind.DATAGRAM_OUT, told.bytes().length, now);
--- a/src/main/java/saffronferry/scale/Meter.java
+++ b/src/main/java/saffronferry/scale/Meter.java
@@ -25,6 +25,7 @@
         long parses;
         long parseNanos;
         long startBytes;
+        long startNanos;
         long wholeListBytes;
         /** Whether its first whole list has come: that belongs to its start, however late it is. */
         boolean begun;
@@ -93,6 +94,26 @@
         }
     }
 
+    /** To read a line of the list has taken so long. */
+    void read(Account account, long nanos, long now) {
+        if (counts(now)) {
+            account.parses++;
+            account.parseNanos += nanos;
+        } else if (now < World.DAY_STARTS) {
+            account.startNanos += nanos;
+        }
+    }
+
+    /** A decision has taken so long. */
+    void took(Account account, Event event, long nanos, long now) {
+        if (counts(now)) {
+            account.nanos[event.ordinal()] += nanos;
+            account.decisions[event.ordinal()]++;
+        } else if (now < World.DAY_STARTS) {
+            account.startNanos += nanos;
+        }
+    }
+
     void said(Account account, Kind kind, int bytes, long now) {
         if (counts(now)) {
             account.messages[kind.ordinal()]++;
--- a/src/main/java/saffronferry/scale/Scale.java
+++ b/src/main/java/saffronferry/scale/Scale.java
@@ -106,6 +106,7 @@
         figures.put("control_bytes_worst_per_s", (double) all.stream().flatMapToLong(a ->
                 Arrays.stream(a.bytesBySecond)).max().orElse(0));
         figures.put("start_control_bytes", all.stream().mapToLong(a -> a.startBytes).average().orElse(0));
+        figures.put("start_decision_ms", all.stream().mapToLong(a -> a.startNanos).average().orElse(0) / 1e6);
         figures.put("goal_share", day.goal());
         figures.put("served_share", day.json().getDouble("worth_served"));
         figures.put("cold_used_share", day.json().getDouble("cold_used"));
