--- a/src/main/java/saffronferry/cli/ScaleCommand.java
+++ b/src/main/java/saffronferry/cli/ScaleCommand.java
@@ -102,8 +102,10 @@
         return second -> {
             if (second != last[0]) {
                 last[0] = second;
-                err.printf(Locale.ROOT, CLEAR + "%s: %d dispatchers, %d workers, %d s of %.0f s", play,
-                        scenario.dispatchers(), scenario.workers(), second, scenario.length() / 1e6);
+                long day = scenario.length() / 1_000_000;
+                err.printf(Locale.ROOT, CLEAR + "%s: %d dispatchers, %d workers, %d s of %d s%s", play,
+                        scenario.dispatchers(), scenario.workers(), Math.min(second, day), day,
+                        second > day ? ", its last requests" : "");
                 err.flush();
             }
         };
