--- a/src/main/java/saffronferry/wire/SubchannelClient.java
+++ b/src/main/java/saffronferry/wire/SubchannelClient.java
@@ -56,8 +56,8 @@
         dialMs = connectMs + DIAL_SLACK_MS;
         HttpClient client = vertx.httpClientBuilder().with(new HttpClientOptions().setKeepAlive(false)
                 .setTcpNoDelay(true).setConnectTimeout(connectMs))
-                // danger: the builder does not read the options' own most, and takes five: what is beyond would
-                // wait inside the library, unseen, for as long as the jobs before it take
+                // danger: the builder does not read the most in these options, and takes five: what is beyond
+                // would wait inside the library, unseen, for as long as the jobs before it take
                 .with(new PoolOptions().setHttp1MaxSize(MOST_CONNECTIONS))
                 // guards the log: the attempt hears of a broken connection itself
                 .withConnectHandler(connection -> connection.exceptionHandler(e -> { }))
