Settings that change while dispatchers run: a last-writer-wins map and its gossip, pure

Change: package saffronferry.agree. Change (key, value or removal, stamp, origin, incarnation), Changeable (the table of what may change: tenants' allowances), LwwMap (merge, digests of 16 ranges of 16 leaves, marks of removals bounded in number and age), Frame and Seal (datagrams of at most 256 bytes, HMAC of 8 bytes; the seventh byte makes versions that know only jobs drop them), Gossip (rumours pushed to three at once and ten in all, repair by digests, a cap of bytes a second). Nothing uses it yet.

--- /dev/null
+++ b/src/main/java/saffronferry/agree/Gossip.java
@@ -0,0 +1,448 @@
+package saffronferry.agree;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
+
+/**
+ * Spreads changes of settings: new ones are pushed at once to a few others, which pass them on (rumour
+ * mongering); what that misses is repaired by digests (anti-entropy). Whatever there is to say, a cap of
+ * bytes a second holds. Times in microseconds. For one thread.
+ */
+public final class Gossip {
+    /** How often {@link #tick} is to be called. */
+    public static final long TICK = 100_000;
+    /** Least cap: below, no whole datagram would fit into what may be said at once. */
+    public static final int LEAST_BYTES_PER_S = 1024;
+    /** A dispatcher that has heard nobody for so long says so. */
+    static final long SILENCE = 10_000_000;
+    private static final int AT_ONCE = 3;
+    private static final int PUSHES = 10;
+    private static final int PER_TICK = 6;
+    /** From so many lately learned on, another is pushed once: a burst must fit the cap, and is repaired. */
+    private static final int MANY = 32;
+    private static final long HOT_PERIOD = 500_000;
+    private static final long QUIET_PERIOD = 2_000_000;
+    /** For so long after a difference digests are sent at the shorter period. */
+    private static final long HOT = 10_000_000;
+    private static final int MOST_RECENT = 128;
+    private static final int RANGES_TOLD = 6;
+    private static final int MOST_OWED = 16;
+    private static final long STILL_OWED = 3_000_000;
+    /** Later than so a datagram is a replay, or was kept for a process that was stopped. */
+    private static final long LATEST = 30_000_000;
+
+    /** What is to be done. */
+    public interface Out {
+        void tell(int peer, byte[] bytes);
+
+        /** These hold from now on; none of them is the own dispatcher's. */
+        void taken(List<Change> changes);
+    }
+
+    /**
+     * @param self our number among the peers
+     * @param peers of the fleet, itself included
+     * @param bytesPerS what it may say of settings in any second
+     */
+    public record Setup(int self, int peers, int bytesPerS, byte[] secret, long seed) { }
+
+    private record Recent(Key key, long at) { }
+
+    /** What a peer is to be told: it asked, and lacks these. */
+    private record Owed(int peer, long until, ArrayDeque<Key> keys) { }
+
+    /** A change that is being passed on. */
+    private static final class Rumour {
+        final Change change;
+        int left;
+        long lastPush;
+
+        Rumour(Change change, int left) {
+            this.change = change;
+            this.left = left;
+        }
+    }
+
+    private final Setup setup;
+    private final Out out;
+    private final Seal seal;
+    private final SplittableRandom random;
+    private final int incarnation;
+    private final double depth;
+    private final LwwMap map = new LwwMap();
+    private final ArrayDeque<Rumour> rumours = new ArrayDeque<>();
+    private final Map<Key, Rumour> rumourOf = new HashMap<>();
+    private final ArrayDeque<Recent> recent = new ArrayDeque<>();
+    private final ArrayDeque<Owed> owed = new ArrayDeque<>();
+    private double tokens;
+    private long filledAt;
+    private long nextDigest;
+    private long hotUntil;
+    private long lastHeard;
+    private long differsSince;
+    private boolean caughtUp;
+    private long bytesOut;
+    private long bytesIn;
+    private long refused;
+    private long dropped;
+    private long turn;
+
+    /** {@code now}: of the one clock, which must never run backwards. */
+    public Gossip(Setup setup, Out out, long now) {
+        this.setup = setup;
+        this.out = out;
+        seal = new Seal(setup.secret());
+        random = new SplittableRandom(setup.seed());
+        incarnation = (int) (now / 1_000_000);
+        depth = setup.bytesPerS() / 4.0;
+        tokens = depth;
+        filledAt = now;
+        lastHeard = now;
+        hotUntil = now + HOT;
+        nextDigest = now;
+        caughtUp = setup.peers() < 2;
+    }
+
+    // ---- what the own dispatcher says ----
+
+    /** Takes the own dispatcher's changes in, null for a removal; returns what is refused, with why. */
+    public List<String> change(long now, Map<Key, String> changes) {
+        List<String> faults = new ArrayList<>();
+        long stamp = now;
+        for (Key key : changes.keySet()) {
+            Change held = map.get(key);
+            // guards against a change that loses to the one it replaces, made by a clock ahead of ours
+            stamp = Math.max(stamp, held == null ? 0 : held.stamp() + 1);
+        }
+        for (Map.Entry<Key, String> e : changes.entrySet()) {
+            Change c = new Change(e.getKey(), e.getValue(), stamp, setup.self(), incarnation);
+            String fault = Changeable.fault(c.key().name(), c.value());
+            if (fault == null && map.merge(c, now) == LwwMap.Merged.TAKEN) {
+                spread(c, now);
+            } else {
+                faults.add(c.key() + ": " + (fault == null ? "too many keys are held" : fault));
+            }
+        }
+        push(now, AT_ONCE);
+        return faults;
+    }
+
+    /** To be called each {@link #TICK}. */
+    public void tick(long now) {
+        map.expire(now);
+        while (!recent.isEmpty() && recent.peekFirst().at() < now - HOT) {
+            recent.pollFirst();
+        }
+        if (now >= nextDigest) {
+            tell(anyPeer(), ranges(now), now);
+            long period = now < hotUntil ? HOT_PERIOD : QUIET_PERIOD;
+            nextDigest = now + period - random.nextLong(period / 4);
+        }
+        for (int i = 0; i < PER_TICK; i++) {
+            if (turn++ % 2 == 0) {
+                push(now, 1);
+            } else {
+                answer(now);
+            }
+        }
+    }
+
+    // ---- what others say ----
+
+    /** Whether a datagram is one of settings, which are for {@link #hear} alone. */
+    public static boolean speaksOfSettings(byte[] bytes) {
+        return Frame.speaksOfSettings(bytes);
+    }
+
+    /** Takes a peer's datagram in. */
+    public void hear(long now, int peer, byte[] bytes) {
+        bytesIn += bytes.length;
+        Frame f = Frame.read(bytes);
+        if (peer == setup.self() || !Frame.speaksOfSettings(bytes) || f.isLater() || !f.sealed(seal)
+                || Math.abs(f.age(now)) > LATEST || f.kind() == null) {
+            dropped++;
+            return;
+        }
+        lastHeard = now;
+        try {
+            switch (f.kind()) {
+                case CHANGES -> changes(now, f);
+                case RANGES -> compareRanges(now, peer, f);
+                case LEAVES -> compareLeaves(now, peer, f);
+                default -> compareHeld(now, peer, f);
+            }
+        } catch (IllegalArgumentException e) {
+            dropped++; // guards against a fault in another's program: the seal is right and the form is not
+        }
+    }
+
+    private void changes(long now, Frame f) {
+        List<Change> all = new ArrayList<>();
+        while (f.has(1)) {
+            all.add(f.next());
+        }
+        List<Change> taken = new ArrayList<>();
+        for (Change c : all) {
+            LwwMap.Merged merged = c == null ? LwwMap.Merged.REFUSED : map.merge(c, now);
+            if (merged == LwwMap.Merged.TAKEN) {
+                taken.add(c);
+                spread(c, now);
+            } else if (merged == LwwMap.Merged.REFUSED) {
+                refused++;
+            }
+        }
+        if (!taken.isEmpty()) {
+            out.taken(taken);
+            push(now, AT_ONCE);
+        }
+    }
+
+    private void compareRanges(long now, int peer, Frame f) {
+        f.take(2);
+        f.take(7);
+        BitSet differ = new BitSet();
+        for (int i = 0; i < LwwMap.RANGES; i++) {
+            differ.set(i, f.take(2) != map.rangeDigest(i, f.salt()));
+        }
+        if (differ.isEmpty()) {
+            differsSince = 0;
+            caughtUp = true;
+            return;
+        }
+        differsSince = differsSince == 0 ? now : differsSince;
+        hotUntil = now + HOT;
+        tellRecent(now, peer, leaf -> differ.get(leaf / LwwMap.RANGE));
+        tell(peer, leaves(some(differ, RANGES_TOLD), now), now);
+    }
+
+    /** Says the newest of what was learned lately, which is what a peer that differs mostly lacks. */
+    private void tellRecent(long now, int peer, IntPredicate leaves) {
+        if (recent.size() > MANY) {
+            return; // in a burst there is more that is recent than a datagram holds
+        }
+        Frame f = Frame.of(Frame.Kind.CHANGES, 0, now);
+        Set<Key> seen = new HashSet<>();
+        for (Iterator<Recent> i = recent.descendingIterator(); i.hasNext();) {
+            Change c = map.get(i.next().key());
+            if (c != null && leaves.test(c.leaf()) && seen.add(c.key()) && !f.add(c)) {
+                break;
+            }
+        }
+        if (!f.isEmpty()) {
+            tell(peer, f, now);
+        }
+    }
+
+    private void compareLeaves(long now, int peer, Frame f) {
+        int ranges = (int) f.take(2);
+        BitSet differ = new BitSet();
+        for (int r = 0; r < LwwMap.RANGES; r++) {
+            for (int i = r * LwwMap.RANGE; (ranges >> r & 1) == 1 && i < (r + 1) * LwwMap.RANGE; i++) {
+                differ.set(i, f.take(2) != map.leafDigest(i, f.salt()));
+            }
+        }
+        if (differ.isEmpty()) {
+            return;
+        }
+        hotUntil = now + HOT;
+        tellRecent(now, peer, differ::get);
+        Frame held = Frame.of(Frame.Kind.HELD, random.nextInt(1 << 16), now);
+        int[] each = differ.stream().toArray();
+        int from = random.nextInt(each.length); // who asks several peers asks each for other leaves
+        for (int i = 0; i < each.length && addHeld(held, each[(from + i) % each.length]);) {
+            i++;
+        }
+        tell(peer, held, now);
+    }
+
+    /** Adds short hashes of what is held of a leaf; false where there is no room. */
+    private boolean addHeld(Frame f, int leaf) {
+        int n = Math.min(255, map.count(leaf));
+        if (f.size() + 2 + 2 * n > Frame.MOST_BYTES) {
+            return false;
+        }
+        f.put(leaf, 1);
+        f.put(n, 1);
+        for (Change c : map.in(leaf)) {
+            if (n-- > 0) {
+                f.put(c.shortHash(f.salt()), 2);
+            }
+        }
+        return true;
+    }
+
+    /** A peer says what it holds of some leaves: it is told what it lacks. */
+    private void compareHeld(long now, int peer, Frame f) {
+        ArrayDeque<Key> lacks = new ArrayDeque<>();
+        while (f.has(1)) {
+            int leaf = (int) f.take(1);
+            Set<Integer> its = new HashSet<>();
+            for (int n = (int) f.take(1); n > 0; n--) {
+                its.add((int) f.take(2));
+            }
+            for (Change c : map.in(leaf)) {
+                if (!its.contains(c.shortHash(f.salt()))) {
+                    lacks.add(c.key());
+                }
+            }
+        }
+        // guards memory against peers that ask without end: they will ask again
+        if (!lacks.isEmpty() && owed.size() < MOST_OWED) {
+            owed.addLast(new Owed(peer, now + STILL_OWED, lacks));
+            answer(now);
+        }
+    }
+
+    // ---- saying it ----
+
+    private void spread(Change c, long now) {
+        Rumour r = new Rumour(c, recent.size() < MANY ? PUSHES : 1);
+        Rumour before = rumourOf.put(c.key(), r);
+        if (before != null) {
+            before.left = 0; // nobody needs to hear what has been replaced
+        }
+        rumours.addFirst(r);
+        recent.addLast(new Recent(c.key(), now));
+        if (recent.size() > MOST_RECENT) {
+            recent.pollFirst();
+        }
+        hotUntil = now + HOT;
+    }
+
+    /** Pushes what has been pushed least, to so many others. */
+    private void push(long now, int times) {
+        for (int i = 0; i < times; i++) {
+            Frame f = Frame.of(Frame.Kind.CHANGES, 0, now);
+            List<Rumour> told = new ArrayList<>();
+            boolean room = true;
+            while (room && !rumours.isEmpty()) {
+                Rumour r = rumours.peekFirst();
+                boolean again = r.lastPush == now && times == 1;
+                room = !again && (r.left <= 0 || f.add(r.change));
+                if (room) {
+                    rumours.pollFirst();
+                    told.add(r);
+                }
+            }
+            if (f.isEmpty()) {
+                return;
+            }
+            if (!tell(anyPeer(), f, now)) {
+                for (int k = told.size() - 1; k >= 0; k--) {
+                    rumours.addFirst(told.get(k));
+                }
+                return;
+            }
+            for (Rumour r : told) {
+                r.left--;
+                r.lastPush = now;
+                if (r.left > 0) {
+                    rumours.addLast(r);
+                } else {
+                    rumourOf.remove(r.change.key(), r);
+                }
+            }
+        }
+    }
+
+    /** Says what one peer is owed, as much as a datagram holds. */
+    private void answer(long now) {
+        // guards against telling what the peer has had from others by now
+        while (!owed.isEmpty() && (owed.peekFirst().until() < now || owed.peekFirst().keys().isEmpty())) {
+            owed.pollFirst();
+        }
+        if (owed.isEmpty()) {
+            return;
+        }
+        Owed o = owed.peekFirst();
+        Frame f = Frame.of(Frame.Kind.CHANGES, 0, now);
+        int told = 0;
+        for (Key key : o.keys()) {
+            Change c = map.get(key);
+            if (c != null && !f.add(c)) {
+                break;
+            }
+            told++;
+        }
+        if (f.isEmpty() || tell(o.peer(), f, now)) {
+            for (; told > 0; told--) {
+                o.keys().pollFirst();
+            }
+        }
+    }
+
+    private Frame ranges(long now) {
+        Frame f = Frame.of(Frame.Kind.RANGES, random.nextInt(1 << 16), now);
+        f.put(Math.min(0xFFFF, map.size()), 2);
+        f.put(map.newest(), 7);
+        for (int i = 0; i < LwwMap.RANGES; i++) {
+            f.put(map.rangeDigest(i, f.salt()), 2);
+        }
+        return f;
+    }
+
+    private Frame leaves(BitSet ranges, long now) {
+        Frame f = Frame.of(Frame.Kind.LEAVES, random.nextInt(1 << 16), now);
+        f.put(ranges.stream().map(r -> 1 << r).sum(), 2);
+        ranges.stream().forEach(r -> {
+            for (int i = r * LwwMap.RANGE; i < (r + 1) * LwwMap.RANGE; i++) {
+                f.put(map.leafDigest(i, f.salt()), 2);
+            }
+        });
+        return f;
+    }
+
+    /** At most so many of them, drawn evenly: who asks several peers is told different things. */
+    private BitSet some(BitSet all, int most) {
+        BitSet left = (BitSet) all.clone();
+        while (left.cardinality() > most) {
+            int[] each = left.stream().toArray();
+            left.clear(each[random.nextInt(each.length)]);
+        }
+        return left;
+    }
+
+    private int anyPeer() {
+        if (setup.peers() < 2) {
+            return setup.self();
+        }
+        int peer = random.nextInt(setup.peers() - 1);
+        return peer >= setup.self() ? peer + 1 : peer;
+    }
+
+    /** Bytes in any second are at most the cap: a quarter of it at once, and three quarters in its course. */
+    private boolean tell(int peer, Frame f, long now) {
+        tokens = Math.min(depth, tokens + (now - filledAt) / 1e6 * (setup.bytesPerS() - depth));
+        filledAt = now;
+        if (peer == setup.self() || tokens < f.size()) {
+            return false;
+        }
+        tokens -= f.size();
+        bytesOut += f.size();
+        out.tell(peer, f.bytes(seal));
+        return true;
+    }
+
+    // ---- for operators ----
+
+    /** All changes held, marks of removals among them. */
+    public Iterable<Change> held() {
+        return map.changes();
+    }
+
+    public Agreement agreement(long now) {
+        Agreement.State state = setup.peers() > 1 && now - lastHeard > SILENCE ? Agreement.State.ALONE
+                : caughtUp ? Agreement.State.IN_TOUCH : Agreement.State.CATCHING_UP;
+        return new Agreement(state, map.size(), map.marks(), map.digest(), map.newest(),
+                differsSince == 0 ? 0 : Math.max(1, now - differsSince), bytesOut, bytesIn, refused, dropped);
+    }
+}
--- /dev/null
+++ b/src/main/java/saffronferry/agree/Key.java
@@ -0,0 +1,9 @@
+package saffronferry.agree;
+
+/** One setting that may change: a row of the table, and whose it is. */
+public record Key(Changeable what, String name) {
+    @Override
+    public String toString() {
+        return what.path(name);
+    }
+}
--- a/src/test/java/saffronferry/BoundariesTest.java
+++ b/src/test/java/saffronferry/BoundariesTest.java
@@ -17,10 +17,10 @@
     @Test
     void decisionsDoNoInputOrOutput() {
         noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.fleet", "saffronferry.limit",
-                "saffronferry.ops", "saffronferry.lab.check", "saffronferry.lab.policy").should().dependOnClassesThat().resideInAnyPackage("io..", "java.net..",
+                "saffronferry.ops", "saffronferry.agree", "saffronferry.lab.check", "saffronferry.lab.policy").should().dependOnClassesThat().resideInAnyPackage("io..", "java.net..",
                 "java.nio..", "java.io..", "java.util.concurrent..", "java.time..").check(ALL);
         noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.fleet", "saffronferry.limit",
-                "saffronferry.ops", "saffronferry.lab.check", "saffronferry.lab.policy").should().callMethod(System.class, "nanoTime").orShould()
+                "saffronferry.ops", "saffronferry.agree", "saffronferry.lab.check", "saffronferry.lab.policy").should().callMethod(System.class, "nanoTime").orShould()
                 .callMethod(System.class, "currentTimeMillis").check(ALL);
     }
 
@@ -32,6 +32,8 @@
                 .and(resideOutsideOfPackage("saffronferry.fleet"))).check(ALL);
         noClasses().that().resideInAPackage("saffronferry.fleet").should().dependOnClassesThat(
                 resideInAPackage("saffronferry..").and(resideOutsideOfPackage("saffronferry.fleet"))).check(ALL);
+        noClasses().that().resideInAPackage("saffronferry.agree").should().dependOnClassesThat(
+                resideInAPackage("saffronferry..").and(resideOutsideOfPackage("saffronferry.agree"))).check(ALL);
         noClasses().that().resideInAPackage("saffronferry.adapter").should().dependOnClassesThat()
                 .resideInAnyPackage("saffronferry.lifecycle..", "saffronferry.wire..").check(ALL);
     }
@@ -59,7 +61,7 @@
 
     @Test
     void whatServeLoadsDependsOnNothingOfTheLaboratory() {
-        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.ops", "saffronferry.log",
+        noClasses().that().resideInAnyPackage("saffronferry", "saffronferry.limit", "saffronferry.ops", "saffronferry.agree", "saffronferry.log",
                 "saffronferry.settings", "saffronferry.state", "saffronferry.wire", "saffronferry.lifecycle",
                 "saffronferry.adapter").should().dependOnClassesThat().resideInAnyPackage("saffronferry.lab..",
                 "saffronferry.rig..", "saffronferry.cli..", "picocli..", "org.tomlj..", "org.HdrHistogram..", "org.apache.commons..")
