--- a/src/main/java/saffronferry/agree/Gossip.java
+++ b/src/main/java/saffronferry/agree/Gossip.java
@@ -106,7 +106,7 @@
     private long bytesIn;
     private long refused;
     private long dropped;
-    private long turn;
+    private int turn;
 
     /** {@code now}: of the one clock, which must never run backwards. */
     public Gossip(Setup setup, Out out, long now) {
@@ -162,7 +162,7 @@
             nextDigest = now + period - random.nextLong(period / 4);
         }
         for (int i = 0; i < PER_TICK; i++) {
-            if (turn++ % 2 == 0) {
+            if ((turn++ & 1) == 0) {
                 push(now, 1);
             } else {
                 answer(now);
@@ -338,6 +338,9 @@
     }
 
     private void spread(Change c, long now) {
+        if (setup.peers() < 2) {
+            return; // guards memory: nobody would ever take it off our hands
+        }
         Rumour r = new Rumour(c);
         Rumour before = rumourOf.put(c.key(), r);
         if (before != null) {
