--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -7,7 +7,6 @@
 import saffronferry.fleet.CallPace;
 import saffronferry.fleet.ColdRate;
 import saffronferry.fleet.ColdShares;
-import saffronferry.fleet.Owners;
 import saffronferry.fleet.Sharing;
 import saffronferry.fleet.TalkBudget;
 import saffronferry.fleet.WatchEnd;
@@ -63,6 +62,7 @@
     private final TalkBudget talk;
     private final CallPace calls;
     private final ColdShares shares;
+    private final Homes homes;
     private final ColdRate coldRate;
     private int processes = 1; // of this dispatcher: budgets are for both together
     private int heldSlots, arrivals, homesMark, turn, neighbour, probeTurn, checkTurn, goneByNow;
@@ -75,7 +75,7 @@
         s = settings;
         out = actions;
         random = new SplittableRandom(settings.seed());
-        fleet = new Fleet(settings.zones(), settings.kinds());
+        fleet = new Fleet(settings.zones(), settings.kinds(), settings.zone());
         heardIn = new long[settings.zones()];
         queues = new HeldQueue[settings.classes().size()][];
         for (int c = 0; c < queues.length; c++) {
@@ -85,6 +85,7 @@
         peers = new Peer[settings.peers()];
         for (int i = 0; i < peers.length; i++) { peers[i] = new Peer(i); }
         shares = new ColdShares(settings.self(), settings.peers());
+        homes = new Homes(settings.zones(), settings.zone(), shares);
         coldRate = new ColdRate(settings.fallMultiple(), settings.coldShare(), settings.cold());
         repeats = new RepeatBudget(settings.peers());
         calls = new CallPace(settings.listOnDemand() ? settings.peers() : 1, settings.mostUnasked());
@@ -164,8 +165,8 @@
         Worker best = null;
         double bestScore = 0;
         // danger: deaf ones take all warm workers for free; a cold one, seldom asked, would stay idle
-        for (Worker w : fleet.ours) {
-            if (w.coldSince != 0 && w.openAt >= 0 && w.cold.small() && usable(j, w)) { return w; }
+        for (Worker w : fleet.coldOurs()) {
+            if (w.openAt >= 0 && w.cold.small() && usable(j, w)) { return w; }
         }
         for (int k = 0; k < fleet.groups(); k++) {
             int n = j.spec.kind() < 0 || j.spec.kind() == k ? fleet.openIn(k) : 0;
@@ -192,12 +193,13 @@
 
     /** Danger: held on, a job too large for any worker would drive P to 0 and end our offers. */
     private boolean fitsNowhere(Job j) {
-        for (Worker w : fleet.ring[s.zone()]) {
-            boolean learned = known.weight[kindIndex(w.kind)] > 0;
-            boolean fits = !learned || 2 * slotsOf(w) >= j.request.slots();
-            if (fits && (j.spec.kind() < 0 || j.spec.kind() == w.kind)) { return false; }
+        int all = 0;
+        for (int k = 0; k < fleet.groups(); k++) {
+            boolean fits = known.weight[k] == 0 || 2 * known.ours(k) >= j.request.slots();
+            if (fleet.present(k) > 0 && fits && (j.spec.kind() < 0 || j.spec.kind() == k)) { return false; }
+            all += fleet.present(k);
         }
-        return fleet.ring[s.zone()].length > 0;
+        return all > 0;
     }
 
     private void hold(Job j, boolean front) {
@@ -301,6 +303,7 @@
         if (i < 0) { return null; }
         y.use(i, j.request.slots(), cost(j, y.offers[i]));
         y.offers[i].lender = y.number;
+        fleet.touch(y.offers[i]);
         return y.offers[i];
     }
 
@@ -333,12 +336,11 @@
     }
 
     // ---- slot learning ----
-    private double slotsOf(Worker w) { return known.ours(kindIndex(w.kind)); }
-
     private int kindIndex(int kind) { return kind < 0 ? known.slots.length - 1 : kind; }
 
     private double free(Worker w) {
-        double slots = w.failedTrials > 0 ? 1 : Math.floor(slotsOf(w) + 0.4); // on trial: one job at a time
+        // on trial: one job at a time
+        double slots = w.failedTrials > 0 ? 1 : known.usable(kindIndex(w.kind));
         return slots - w.mine - w.others;
     }
 
@@ -349,7 +351,7 @@
         if (w.takenThen == 0 && taken > 0) { w.busySince = now; }
         w.takenThen = taken;
         w.takenAt = now;
-        fleet.setOpen(w, w.ours && w.state == WorkerState.IN_SERVICE && !w.suspect && free(w) >= 1);
+        fleet.place(w, w.ours && w.state == WorkerState.IN_SERVICE && !w.suspect && free(w) >= 1);
     }
 
     private void learn(Worker w, Report report) {
@@ -369,9 +371,8 @@
     }
 
     private void probeSome() {
-        Worker[] zone = fleet.ours;
-        for (int i = 0; i < 4 && probing && probeCredit >= 1 && zone.length > 0; i++) {
-            Worker w = zone[Math.floorMod(probeTurn++, zone.length)];
+        for (int i = 0; i < 4 && probing && probeCredit >= 1 && fleet.owned() > 0; i++) {
+            Worker w = fleet.own(Math.floorMod(probeTurn++, fleet.owned()));
             if (w.state == WorkerState.IN_SERVICE && now - w.probedAt > MAX_PERIOD) {
                 w.probedAt = now - random.nextLong(MAX_PERIOD / 4);
                 probeCredit -= 1;
@@ -382,7 +383,7 @@
 
     @Override public void probed(long clock, String address, Outcome outcome, Report report) {
         now = clock;
-        Worker w = fleet.byAddress.get(address);
+        Worker w = fleet.get(address);
         if (w != null && outcome == Outcome.CONNECT_FAILED) { broken(w, false); }
         if (w != null && report != null) { learn(w, report); }
         if (w != null && report == null && known.weight[kindIndex(w.kind)] == 0) {
@@ -417,7 +418,7 @@
 
     /** The next so many peers of our zone, before others those that have cold workers' budgets to lend. */
     private void tellZone(int most, Message m) {
-        int[] first = fleet.guardians(s.zone(), shares, coldHere ? Math.max(most - 1, LEAST_FAN) : 0, ticks);
+        int[] first = fleet.guardians(shares, coldHere ? Math.max(most - 1, LEAST_FAN) : 0, ticks);
         for (int guardian : first) { tell(guardian, m); }
         int fan = Math.max(Math.min(LEAST_FAN, most), most - first.length);
         for (int i = 0; i < peers.length && fan > 0; i++) {
@@ -463,8 +464,8 @@
     /** Parts of what cold workers of ours can take, for one that asks; spent before they are told. */
     private Message lend(Peer y, Message m) {
         double part = Peer.whole(known.longest());
-        for (Worker w : y.mayLend(m, now, s.zone()) ? fleet.ours : new Worker[0]) {
-            if (w.coldSince != 0 && w.openAt >= 0 && coldCovers(w, part, true)) { y.lend(w, part, m, now); }
+        for (Worker w : y.mayLend(m, now, s.zone()) ? fleet.coldOurs() : List.<Worker>of()) {
+            if (w.openAt >= 0 && coldCovers(w, part, true)) { y.lend(w, part, m, now); }
         }
         return m;
     }
@@ -549,21 +550,18 @@
         zoneSlots = 0;
         // danger: who does not fill a worker would take it for cold for good, and use no slot offered there
         homesMark = fleet.warmUp(now - s.cold()) ? 0 : homesMark; // it goes from its guardian to its owner
-        coldHere = fleet.anyCold(s.zone());
-        for (Worker w : fleet.ring[s.zone()]) {
-            zoneSlots += w.state == WorkerState.IN_SERVICE && !w.suspect ? slotsOf(w) : 0;
-        }
+        coldHere = fleet.anyCold();
+        for (int k = 0; k < fleet.groups(); k++) { zoneSlots += fleet.counted(k) * known.ours(k); }
     }
 
     // ---- health ----
     private void checkHealth() {
-        Worker[] zone = fleet.ours;
-        int step = Math.min(zone.length, 1 + zone.length / 8);
-        for (int i = 0; i < step; i++) {
-            Worker w = zone[Math.floorMod(checkTurn++, zone.length)];
+        int step = Math.min(fleet.owned(), 1 + fleet.owned() / 8);
+        for (Worker w : fleet.watched(checkTurn, step)) {
             if (w.suspect && w.attempts.isEmpty() && now >= w.trialAt) { clear(w, w.failedTrials); }
             if (!w.suspect && Silence.nats(w, now, known, s) > SUSPECT_NATS) { suspect(w); }
         }
+        checkTurn += step;
     }
 
     /** Danger: a hung worker takes jobs and holds its slots for ever. It leaves m; its jobs move. */
@@ -775,7 +773,7 @@
     }
 
     private boolean anotherFor(Job j, Worker w) {
-        for (Worker x : fleet.ring[s.zone()]) {
+        for (Worker x : fleet.here()) {
             if (x != w && x.state == WorkerState.IN_SERVICE && !x.suspect
                     && (j.spec.effect() != Effect.KEYED || Book.sameGroup(j.spec.group(), w, x))) {
                 return true;
@@ -797,8 +795,7 @@
     private double cost(Job j, Worker w) { return known.cost(j.request, kindIndex(w.kind)); }
 
     private void chill(long start, Worker w) {
-        w.coldSince = start;
-        w.cold.reset();
+        fleet.chill(w, start);
         coldHere = true;
         homesMark = 0;
     }
@@ -809,7 +806,7 @@
         boolean first = !begun;
         begun = true;
         boolean changed = kind != ListKind.CHANGES; // what a whole list does not name is gone
-        if (changed) { fleet.byAddress.values().forEach(w -> w.state = WorkerState.GONE); }
+        if (changed) { fleet.goneAll(); }
         for (WorkerInfo e : entries) { changed |= take(e, first); }
         if (changed) { arrange(); }
         if (first) { begin(); }
@@ -817,11 +814,11 @@
     }
 
     private boolean take(WorkerInfo e, boolean first) {
-        Worker w = fleet.byAddress.get(e.address());
+        Worker w = fleet.get(e.address());
         boolean fresh = w == null;
         if (fresh) {
             w = new Worker(e.address(), e.kind());
-            fleet.byAddress.put(e.address(), w);
+            fleet.add(w);
         }
         boolean moved = fresh || w.state != e.state() || w.zone != e.zone();
         w.zone = e.zone();
@@ -834,6 +831,7 @@
             w.suspect = false;
             w.failedTrials = 0;
         }
+        if (moved) { fleet.touch(w); }
         return moved;
     }
 
@@ -841,35 +839,6 @@
         return zone == s.zone() || heardIn[zone] > 0 && now - heardIn[zone] <= LEFT_ALONE;
     }
 
-    /** Danger: nobody serves the workers of a zone without dispatchers. Another zone adopts each. */
-    private int homeZone(Worker w) {
-        if (w.zone < 0 || served(w.zone) || !settled) { return w.zone; }
-        int best = s.zone();
-        for (int z = 0; z < heardIn.length; z++) {
-            best = served(z) && Book.mix(w.hash, z) > Book.mix(w.hash, best) ? z : best;
-        }
-        return best;
-    }
-
-    /** Who of our zone's dispatchers, as far as heard, fills which of its workers. */
-    private void own() {
-        Worker[] zone = fleet.ring[s.zone()];
-        int[] near = Arrays.stream(peers)
-                .filter(y -> y.number == s.self() || y.heard > 0 && y.zone == s.zone())
-                .mapToInt(y -> y.number).toArray();
-        shares.near(Arrays.stream(near).filter(y -> shares.counts(y, now)).toArray());
-        int[] owners = Owners.share(Arrays.stream(zone).mapToInt(w -> w.hash).toArray(), near);
-        for (int i = 0; i < zone.length; i++) {
-            Worker w = zone[i];
-            int owner = w.coldSince == 0 ? owners[i] : shares.guardian(w.hash);
-            w.ours = owner == s.self();
-            // danger: it changes hands with jobs on it, and who fills it now would count their slots as free
-            boolean unknown = w.mine > 0 && w.lender != owner;
-            w.lender = w.ours ? -1 : unknown ? owner : w.lender;
-            if (unknown) { tellLender(w); }
-        }
-    }
-
     /** Which zones have dispatchers, and who fills which worker first, as far as heard. */
     private void learnHomes() {
         settled = now - bornAt > SETTLE || peers.length == 1;
@@ -887,25 +856,32 @@
         }
     }
 
+    /** Who has dispatchers, who of ours fills which worker, and what follows for those that change hands. */
     private void arrange() {
-        fleet.closeAll();
-        for (Worker w : fleet.byAddress.values()) {
-            w.home = homeZone(w);
-            w.ours = false;
-        }
-        fleet.arrange();
-        own();
-        fleet.gather(s.zone());
-        for (Worker w : fleet.byAddress.values()) {
+        int[] near = Arrays.stream(peers)
+                .filter(y -> y.number == s.self() || y.heard > 0 && y.zone == s.zone())
+                .mapToInt(y -> y.number).toArray();
+        BitSet served = new BitSet();
+        for (int z = 0; z < heardIn.length; z++) { served.set(z, !settled || served(z)); }
+        int[] counted = Arrays.stream(near).filter(y -> shares.counts(y, now)).toArray();
+        for (Worker w : fleet.arrange(homes, homes.hear(near, counted, served), known)) {
+            if (w.seat == s.zone()) { own(w, homes.owner(w)); }
             for (int i = 0; w.others > 0 && i < peers.length; i++) {
                 // its process took the jobs with it, or who fills it now hears of them: nobody will tell us
-                boolean near = !w.ours && peers[i].zone == s.zone();
-                if (near || w.state == WorkerState.GONE) { peers[i].hold(w, 0, now); }
+                boolean elsewhere = !w.ours && peers[i].zone == s.zone();
+                if (elsewhere || w.state == WorkerState.GONE) { peers[i].hold(w, 0, now); }
             }
             refresh(w);
         }
     }
 
+    private void own(Worker w, int owner) {
+        // danger: it changes hands with jobs on it, and who fills it now would count their slots as free
+        boolean unknown = w.mine > 0 && w.lender != owner;
+        w.lender = w.ours ? -1 : unknown ? owner : w.lender;
+        if (unknown) { tellLender(w); }
+    }
+
     private void begin() {
         lastTick = now;
         bornAt = now;
@@ -915,7 +891,7 @@
         nextExchange = now + random.nextLong(MIN_PERIOD);
         for (Peer y : peers) { tell(y.number, message(Message.Type.OFFERS)); }
         out.timer(TICK_TOKEN, 1 + random.nextLong(TICK));
-        probeCredit = Math.min(12, fleet.ours.length);
+        probeCredit = Math.min(12, fleet.owned());
         for (int i = 0; i < 3; i++) {
             probeTurn = random.nextInt(1 << 20);
             probeSome();
@@ -939,9 +915,11 @@
         if (after > 0) { out.timer(SUBSCRIBE_TOKEN, calls.after(after, now)); } else { out.subscribe(); }
     }
 
+    long looks() { return fleet.looks(); }
+
     @Override public int avoided() { return fleet.avoided(); }
 
-    @Override public Sharing sharing() { return fleet.sharing(peers, shares, s.zone(), now); }
+    @Override public Sharing sharing() { return fleet.sharing(peers, shares, now); }
 
     // ---- another process of this dispatcher, to replace or to be replaced by ----
     @Override public Beside beside() { return new Beside(fleet.jobs(), known.told()); }
@@ -951,7 +929,7 @@
         known.take(other.learned());
         processes = other.equals(Beside.NOBODY) ? 1 : 2;
         repeats.share(processes);
-        for (Worker w : fleet.byAddress.values()) {
+        for (Worker w : fleet.all()) {
             twin.hold(w, other.jobs().getOrDefault(w.address, 0), now);
             refresh(w);
         }
@@ -976,14 +954,14 @@
             learnHomes();
             learnShares();
         }
-        for (Worker w : fleet.ours) { if (w.coldSince != 0) { coldCovers(w, 0, heldSlots > 0); } }
+        for (Worker w : fleet.coldOurs()) { coldCovers(w, 0, heldSlots > 0); }
         checkHealth();
         endLeaving();
         drain();
         for (Peer y : peers) {
             giveBack(y, heldSlots > 0);
             if (!y.holdsDue(now)) { continue; }
-            tell(y.number, y.holds(now, fleet.byAddress.values(), message(Message.Type.HOLDS)));
+            tell(y.number, y.holds(now, fleet.borrowed(), message(Message.Type.HOLDS)));
         }
         placeBound();
         retryHeld();
@@ -1033,6 +1011,6 @@
     /** Danger: an answer must not wait for the deadline when no worker of the job's group is left. */
     private boolean hopeless(Job j) {
         return j.inFlight == 0 && j.spec.effect() == Effect.KEYED && !j.nothingMayHaveRun()
-                && fleet.byAddress.values().stream().noneMatch(w -> maySend(j, w));
+                && fleet.all().stream().noneMatch(w -> maySend(j, w));
     }
 }
--- a/src/main/java/saffronferry/lab/world/World.java
+++ b/src/main/java/saffronferry/lab/world/World.java
@@ -24,15 +24,20 @@
  * One emulated day. Deterministic: the same scenario, policy and seed give the same day, to the last byte.
  */
 public final class World {
-    /** What a day came to; {@code json} holds nothing that depends on the machine. */
+    /**
+     * What a day came to; {@code json} holds nothing that depends on the machine. {@code decisionMicros} is
+     * processor time a request, {@code startMicros} that of all dispatchers before the first request.
+     */
     public record Day(JSONObject json, double goal, List<RuleChecker.Broken> broken, int brokenInAll,
             long events,
-                      long requests, double decisionMicros, double seconds) { }
+                      long requests, double decisionMicros, double startMicros, double seconds) { }
 
     static final Clients.Shape STEADY = shape(t -> 1, 1);
     /** The module's clock: far from 0, which stands for long ago. */
     private static final long START = 1_000_000_000;
     private static final long SETTLE = 2_000_000;
+    /** When clients begin to ask, by the clock that brains are handed. */
+    public static final long DAY_STARTS = START + SETTLE;
     private static final long FALLEN = 5_000_000;
 
     final Scenario scenario;
@@ -49,10 +54,11 @@
     private final Map<Node, Long> downSince = new HashMap<>();
     private final double capacity;
     private final long seed;
-    private final UnaryOperator<Brain> wrap;
+    private final Wrap wrap;
     private int successors;
+    private long busyAtStart;
 
-    private World(Scenario scenario, Policy policy, long seed, UnaryOperator<Brain> wrap) {
+    private World(Scenario scenario, Policy policy, long seed, Wrap wrap) {
         this.scenario = scenario;
         this.seed = seed;
         this.wrap = wrap;
@@ -73,11 +79,21 @@
 
     /** Plays a day. */
     public static Day play(Scenario scenario, Policy policy, long seed) {
-        return play(scenario, policy, seed, UnaryOperator.identity());
+        return play(scenario, policy, seed, (brain, dispatcher) -> brain);
     }
 
     /** Plays a day with each brain wrapped, so that tests can sabotage it. */
     public static Day play(Scenario scenario, Policy policy, long seed, UnaryOperator<Brain> wrap) {
+        return play(scenario, policy, seed, (brain, dispatcher) -> wrap.apply(brain));
+    }
+
+    /** Stands between a dispatcher's brain, one for each of its lives, and its world. */
+    public interface Wrap {
+        Brain wrap(Brain brain, int dispatcher);
+    }
+
+    /** Plays a day with each brain wrapped, so that what passes can be measured. */
+    public static Day play(Scenario scenario, Policy policy, long seed, Wrap wrap) {
         long begun = System.nanoTime();
         World world = new World(scenario.drawn(seed), policy, seed, wrap);
         world.run();
@@ -91,17 +107,26 @@
                 .put("story", new JSONArray(b.story()))));
         json.put("seed", seed).put("policy", policy.label()).put("rules_broken", world.checker.count())
                 .put("broken", broken);
-        long busy = world.nodes.stream().mapToLong(Node::busyNanos).sum();
+        long busy = world.busyNanos() - world.busyAtStart;
         return new Day(json, world.tally.goal(), world.checker.broken(), world.checker.count(),
                 world.sim.done(),
                 world.tally.requests(), busy / 1e3 / Math.max(1, world.tally.requests()),
+                world.busyAtStart / 1e3,
                 (System.nanoTime() - begun) / 1e9);
     }
 
+    private long busyNanos() {
+        return nodes.stream().mapToLong(Node::busyNanos).sum();
+    }
+
     private void run() {
         List<WorkerInfo> known = registry.all();
         nodes.forEach(node -> node.start(known));
         long start = START + SETTLE;
+        sim.after(SETTLE, () -> {
+            busyAtStart = busyNanos();
+            tally.settled();
+        });
         long end = start + scenario.length();
         Clients.Shape shape = shapeOf(start, end);
         clients.stream("day", 0, capacity * scenario.load().share() / (scenario.meanWork() / 1e6), -1, start,
@@ -175,10 +200,10 @@
 
     private Brain brain(Policy policy, int dispatcher, int life) {
         UniformRandomProvider random = streams.of("brain " + dispatcher, life);
-        return wrap.apply(policy.brain(settings(dispatcher, random.nextLong()), random, address -> {
+        return wrap.wrap(policy.brain(settings(dispatcher, random.nextLong()), random, address -> {
             Worker w = workers.get(address);
             return w == null ? Double.MAX_VALUE : w.load();
-        }));
+        }), dispatcher);
     }
 
     private Settings settings(int dispatcher, long brainSeed) {
@@ -285,7 +310,7 @@
     }
 
     void tell(Node from, int to, byte[] bytes) {
-        tally.datagrams++;
+        tally.datagram(bytes.length);
         if (to >= 0 && to < nodes.size()) {
             Node peer = nodes.get(to);
             for (long late : wires.datagram(sim.now(), from.number, to)) {
--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -169,7 +169,7 @@
         if (inForce != null) {
             inForce.start(vertx, wire, figures);
         }
-        return console.compose(v -> wire.begin(config.known)).onSuccess(v -> keepCompany())
+        return console.compose(v -> wire.begin(config.takeKnown())).onSuccess(v -> keepCompany())
                 .compose(v -> wire.server().listen(config.listen))
                 .compose(v -> wire.warmUp(config.listen))
                 .compose(v -> company == null ? Future.succeededFuture() : company.announce())
@@ -217,7 +217,7 @@
     }
 
     private Future<Void> openConsole() {
-        desk = new Console(vertx, wire.ledger(), figures, banFile, new Console.Floor() {
+        desk = new Console(vertx, wire.ledger(), figures, transport.control(), banFile, new Console.Floor() {
             @Override
             public boolean ready() {
                 return ready && !drain.ending();
@@ -236,6 +236,7 @@
                 return open;
             }
         }, log);
+        OwnUse.keep(vertx, transport.control());
         return new ConsoleServer(vertx, descriptors, transport, desk).listen(config.console);
     }
 
