--- a/src/main/java/saffronferry/Balancer.java
+++ b/src/main/java/saffronferry/Balancer.java
@@ -12,7 +12,7 @@
  */
 public final class Balancer {
     private final Steps steps = new Steps();
-    private final Dispatcher module;
+    private final Contract.Events module;
 
     public Balancer(Contract.Settings settings) {
         module = new Dispatcher(settings, steps);
@@ -41,7 +41,7 @@
         } else if (news instanceof News.RunsBeside b) {
             module.beside(now, b.other());
         } else if (news instanceof News.AllowancesChanged a) {
-            module.allowances.follow(a.tenants());
+            module.allowances(now, a.tenants());
         } else if (news instanceof News.Room r) {
             module.room(now, r.open());
         } else {
--- a/src/main/java/saffronferry/Contract.java
+++ b/src/main/java/saffronferry/Contract.java
@@ -103,6 +103,9 @@
         /** What such a process tells; {@link Beside#NOBODY} when it is gone. */
         void beside(long now, Beside other);
 
+        /** What tenants may ask for from now on: who was there keeps the index, and who is new is behind. */
+        void allowances(long now, List<Tenant> tenants);
+
         /** How many workers in service are given no jobs for now, but for a trial. */
         int avoided();
 
--- a/src/main/java/saffronferry/Dispatcher.java
+++ b/src/main/java/saffronferry/Dispatcher.java
@@ -55,7 +55,7 @@
     private final long[] heardIn; // when a dispatcher of the zone was heard last; 0 = never
     private final Lessons known; // learned slots of workers and running times
     private final Peer twin = new Peer(-1); // the process that we replace, or that replaces us
-    final Allowances allowances; // what tenants may ask for changes while we run
+    private final Allowances allowances; // what tenants may ask for changes while we run
     private final boolean[] blocked; // classes for which a drain has found no slot
     private double p = 1, r = 1, zoneSlots, share = 1, trafficShare, rate, probeCredit;
     private final RepeatBudget repeats;
@@ -917,6 +917,11 @@
 
     long looks() { return fleet.looks(); }
 
+    @Override public void allowances(long clock, List<Tenant> tenants) {
+        now = clock;
+        allowances.follow(tenants);
+    }
+
     @Override public int avoided() { return fleet.avoided(); }
 
     @Override public Sharing sharing() { return fleet.sharing(peers, shares, now); }
