ConsoleTest counts what workers read beyond what is told as written, before each round

The test of bans failed once more beside a full suite (round 20, 122 expected, 123 got): it waited until the workers had read as many attempts as were written whole, over all rounds, and one that was given up meanwhile had been read without being counted. The surplus at rest is now taken before each round, so that each round waits for its own.

--- a/src/test/java/saffronferry/lifecycle/ConsoleTest.java
+++ b/src/test/java/saffronferry/lifecycle/ConsoleTest.java
@@ -228,14 +228,16 @@
         int banned = 0;
         for (int round = 0; round < 40; round++) {
             Peer out = round % 2 == 0 ? a : b;
+            long surplus = surplus();
             List<CompletableFuture<HttpResponse<String>>> load = new ArrayList<>();
             for (int i = 0; i < 6; i++) {
                 load.add(ask("directory-page", 4000));
             }
             Thread.sleep(0, random.nextInt(900_000));
             yes("/ops/workers/down/" + (out == a ? "a" : "b"));
-            long written = written(); // what had left before the yes is read, however busy the machine
-            await(() -> a.requests.size() + b.requests.size() >= written);
+            // what had left before the yes is read, however busy the machine
+            long written = written();
+            await(() -> read() - written >= surplus);
             int got = out.requests.size();
             for (int i = 0; i < 6; i++) {
                 load.add(ask("directory-page", 4000));
@@ -250,6 +252,31 @@
         assertTrue("the workers were in use before", banned > 20);
     }
 
+    private long read() {
+        return a.requests.size() + b.requests.size();
+    }
+
+    /** How many more the workers have read than were written whole, some having been given up meanwhile; at rest. */
+    private long surplus() throws Exception {
+        await(() -> active() == 0);
+        long surplus = read() - written();
+        for (int same = 0; same < 3; same++) {
+            Thread.sleep(10);
+            long now = read() - written();
+            same = now == surplus ? same : 0;
+            surplus = now;
+        }
+        return surplus;
+    }
+
+    private long active() {
+        try {
+            return figure("app_active");
+        } catch (Exception e) {
+            return -1;
+        }
+    }
+
     /** Attempts written whole so far. */
     private long written() throws Exception {
         return figure("app_tries{kind=\"directory-page\"}") + figure("app_tries{kind=\"record-gift\"}");
