A process serves once discovery has told its list, or is away, or has let it wait 5 s

The break is their first requests, by the list of their configuration, which is as old as their machine was away (18 s); a drain of 19.1 s counted as told at 25.1. Their first call of discovery is up to 4 s later, since a hundred may have started together.

Change: Node is ready, and `/up` says yes, once the first list is told, discovery is found unreachable, or 5 s have passed, of the 10 s that a restart may take. DiscoveryWatch.firstWord, Wire.listed. WatchEndsTest: discovery answers after 0.7 s that one of two workers drains; eight requests, and none reaches it.

--- a/src/main/java/saffronferry/lifecycle/Node.java
+++ b/src/main/java/saffronferry/lifecycle/Node.java
@@ -172,6 +172,7 @@
         return console.compose(v -> wire.begin(config.takeKnown())).onSuccess(v -> keepCompany())
                 .compose(v -> wire.server().listen(config.listen))
                 .compose(v -> wire.warmUp(config.listen))
+                .compose(v -> wire.listed())
                 .compose(v -> company == null ? Future.succeededFuture() : company.announce())
                 .onSuccess(v -> {
                     ready = true;
--- a/src/main/java/saffronferry/wire/DiscoveryWatch.java
+++ b/src/main/java/saffronferry/wire/DiscoveryWatch.java
@@ -1,5 +1,7 @@
 package saffronferry.wire;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
@@ -31,6 +33,7 @@
     private final Consumer<WatchEnd> lost;
     private final BoundedLog log;
     private Watch current;
+    private final Promise<Void> firstWord = Promise.promise();
     /** Whether this discovery has told nothing yet, so that the revision held is another's. */
     private boolean strange;
 
@@ -46,6 +49,11 @@
                 .setMaxPoolSize(4).setConnectTimeout(CONNECT_MS)), descriptors, Purpose.DISCOVERY);
     }
 
+    /** Completes with the first list, or when discovery turns out to be unreachable. */
+    Future<Void> firstWord() {
+        return firstWord.future();
+    }
+
     /** Watches from a revision on. One that is under way goes on: asking twice would queue behind it. */
     void start(long revision) {
         if (current != null && !current.over) {
@@ -141,6 +149,7 @@
                 strange = false;
                 told = true;
                 listener.accept(update);
+                firstWord.tryComplete();
             }
         }
 
@@ -152,7 +161,11 @@
             if (!over) {
                 close();
                 log.line("watch lost", String.valueOf(cause.getMessage()));
-                lost.accept(how(silent));
+                WatchEnd how = how(silent);
+                lost.accept(how);
+                if (how == WatchEnd.DOWN) {
+                    firstWord.tryComplete();
+                }
             }
         }
 
--- a/src/main/java/saffronferry/wire/Wire.java
+++ b/src/main/java/saffronferry/wire/Wire.java
@@ -31,6 +31,8 @@
 
     private static final long WARM_UP_MS = 500;
     private static final int MOST_WARM_UPS = 8;
+    /** Of the 10 s in which a restarted process is to serve, the start itself takes the rest. */
+    private static final long FIRST_LIST_MS = 5_000;
 
     private final Vertx vertx;
     private final BoundedLog log;
@@ -76,6 +78,18 @@
         });
     }
 
+    /**
+     * Completes once discovery has told its list, cannot be reached, or has let us wait for five seconds. The
+     * list that a process starts with may be as old as its machine was away: what changed meanwhile counts as
+     * told from the first request on, so none should come before.
+     */
+    public Future<Void> listed() {
+        Promise<Void> done = Promise.promise();
+        discovery.firstWord().onComplete(v -> done.tryComplete());
+        vertx.setTimer(FIRST_LIST_MS, t -> done.tryComplete());
+        return done.future();
+    }
+
     /**
      * Sends our own server a request that it turns away, over the path that call attempts take: the classes
      * of both sides are loaded before the first client's request would have to wait for that.
--- a/src/test/java/saffronferry/lifecycle/WatchEndsTest.java
+++ b/src/test/java/saffronferry/lifecycle/WatchEndsTest.java
@@ -1,5 +1,7 @@
 package saffronferry.lifecycle;
 
+import static org.junit.Assert.assertEquals;
+
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
@@ -69,6 +71,20 @@
         }
     }
 
+    /** The list of the start may be as old as the machine was away: nothing is served before discovery has told its own. */
+    @Test
+    public void aProcessServesOnlyOnceDiscoveryHasToldItsList() throws Exception {
+        discovery.script = (request, out) -> {
+            Thread.sleep(700);
+            return tell(list(9, false, entry("b", b.address(), 2, "DRAINING", 0))).play(request, out);
+        };
+        start();
+        for (int i = 0; i < 8; i++) {
+            assertEquals(200, get(ask("directory-page", 3000)).statusCode());
+        }
+        assertEquals(0, b.requests.size());
+    }
+
     /** Another customer's setting: pushed lists come on a watch, too, and count as told from the first moment. */
     @Test
     public void whereListsArePushedTheWatchIsOpenedUnasked() throws Exception {
