Review case 2: an upgrade with 256 descriptors lets requests outlive their clients' time

While two processes run, each takes in a quarter of the descriptors as clients, and leaves the others in the backlog, although clients may hold a third. What waits there is treated as sent when it is read: workers are told too much time, and answers come after the client's time and the half second of slack.

--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -31,6 +31,7 @@
         Play play =
                 switch (args[0]) {
                     case "requests-at-once" -> new RequestsAtOnce();
+                    case "upgrade" -> new Upgrade();
                     default -> throw new IllegalArgumentException(args[0]);
                 };
         Case of = new Case(Path.of(args[1]));
--- a/review/standins/Dispatcher.java
+++ b/review/standins/Dispatcher.java
@@ -93,4 +93,26 @@
         }
         record.line("dispatcher " + name + " is up");
     }
+
+    /** Waits until {@code GET /ops/readiness} says yes. */
+    void awaitYes(int console) throws IOException, InterruptedException {
+        long end = System.nanoTime() + 30_000_000_000L;
+        while (!saysYes(console)) {
+            if (!process.isAlive() || System.nanoTime() > end) {
+                throw new IOException("dispatcher " + name + " is not ready");
+            }
+            Thread.sleep(20);
+        }
+        record.line("dispatcher " + name + " says yes");
+    }
+
+    private static boolean saysYes(int console) {
+        try (Client client = new Client(console)) {
+            client.send("GET /ops/readiness HTTP/1.1\r\nHost: console\r\n\r\n");
+            Http.Message answer = client.answer(1_000);
+            return answer != null && answer.status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
 }
