Review case 3: lines of other requests and lines without a result are served

The parser of workers' answers never compares a line's id with the request's, and serves a last line without a result as an empty body.

--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -32,6 +32,7 @@
                 switch (args[0]) {
                     case "requests-at-once" -> new RequestsAtOnce();
                     case "upgrade" -> new Upgrade();
+                    case "spoilt-answers" -> new SpoiltAnswers();
                     default -> throw new IllegalArgumentException(args[0]);
                 };
         Case of = new Case(Path.of(args[1]));
