--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -32,6 +32,7 @@
                 switch (args[0]) {
                     case "requests-at-once" -> new RequestsAtOnce();
                     case "upgrade" -> new Upgrade();
+                    case "crowded-discovery" -> new CrowdedDiscovery();
                     case "spoilt-answers" -> new SpoiltAnswers();
                     default -> throw new IllegalArgumentException(args[0]);
                 };
--- a/review/standins/Upgrade.java
+++ b/review/standins/Upgrade.java
@@ -15,7 +15,7 @@
     private static final int GIFTS = 64;
     private static final int PAGES = 16;
     private static final int GIFT_MS = 3_600;
-    private static final int PAGE_MS = 1_500;
+    private static final int PAGE_MS = 2_000;
     private static final int FIRST_PAGE_MS = 600;
     private static final int GIFT_REMAINING_MS = 25_000;
     /** A page whose client has used up a part of its 6 s with an earlier try. */
