--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -4,8 +4,14 @@
 import java.nio.file.SimpleFileVisitor;
 import java.nio.file.attribute.BasicFileAttributes;
 
-/** Runs one case: {@code Case NAME FOLDER}. Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run. */
+/**
+ * Runs one case: {@code Case NAME FOLDER}. Exits with 0 if the rule held, {@link #BROKEN} if it was broken, and otherwise
+ * if the case could not run; run.sh makes 0, 1 and 2 of these, since a virtual machine that does not start exits with 1.
+ */
 final class Case {
+    private static final int BROKEN = 10;
+    private static final int COULD_NOT_RUN = 2;
+
     /** What a case does; returns whether the rule was broken. */
     interface Play {
         boolean play(Case of) throws Exception;
@@ -27,7 +33,17 @@
         temporary = Files.createTempDirectory("review");
     }
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
+        try {
+            run(args);
+        } catch (Throwable e) {
+            System.out.println("the case could not run: " + e);
+            Dispatcher.endAll();
+            Runtime.getRuntime().halt(COULD_NOT_RUN);
+        }
+    }
+
+    private static void run(String[] args) throws Exception {
         Play play =
                 switch (args[0]) {
                     case "requests-at-once" -> new RequestsAtOnce();
@@ -41,28 +57,34 @@
             try {
                 Thread.sleep(LIMIT_MS);
                 of.record.say("the case did not end in time");
-                of.end(2);
+                of.end(COULD_NOT_RUN);
             } catch (InterruptedException e) {
                 // ended
             }
         });
         limit.setDaemon(true);
         limit.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(Dispatcher::endAll));
-        int code = 2;
+        Runtime.getRuntime().addShutdownHook(new Thread(of::cleanUp));
+        int code = COULD_NOT_RUN;
         try {
             of.record.say("disruption: " + (of.trouble ? "on" : "off"));
             boolean broken = play.play(of);
             of.record.say(broken ? "the rule was broken" : "the rule held");
-            code = broken ? 1 : 0;
-        } catch (Exception e) {
+            code = broken ? BROKEN : 0;
+        } catch (Throwable e) {
             of.record.say("the case could not run: " + e);
         }
         of.end(code);
     }
 
     private void end(int code) {
-        Dispatcher.endAll();
+        cleanUp();
+        Runtime.getRuntime().halt(code);
+    }
+
+    /** Ends all processes that the case started, and removes its folder. */
+    private void cleanUp() {
+        record.line("processes of the case that have not ended: " + Dispatcher.endAll());
         try {
             Files.walkFileTree(temporary, new SimpleFileVisitor<>() {
                 @Override
@@ -81,6 +103,5 @@
         } catch (java.io.IOException e) {
             record.line("temporary folder not removed: " + e);
         }
-        Runtime.getRuntime().halt(code);
     }
 }
--- a/review/standins/Dispatcher.java
+++ b/review/standins/Dispatcher.java
@@ -17,8 +17,8 @@
     private final Record record;
     private final String name;
 
-    /** Ends every process that is still there. */
-    static synchronized void endAll() {
+    /** Ends every process that is still there; returns how many have not ended. */
+    static synchronized long endAll() {
         for (Process process : STARTED) {
             process.destroyForcibly();
         }
@@ -29,6 +29,7 @@
                 Thread.currentThread().interrupt();
             }
         }
+        return STARTED.stream().filter(Process::isAlive).count();
     }
 
     static int freePort() throws IOException {
@@ -62,7 +63,7 @@
         synchronized (Dispatcher.class) {
             STARTED.add(process);
         }
-        record.line("dispatcher " + name + " is process " + process.pid());
+        record.line("dispatcher " + name + " is process " + process.pid() + " of the command " + command(root, "run"));
         Thread log = new Thread(() -> {
             try (var lines = process.inputReader(StandardCharsets.UTF_8)) {
                 for (String line = lines.readLine(); line != null; line = lines.readLine()) {
--- a/review/standins/RequestsAtOnce.java
+++ b/review/standins/RequestsAtOnce.java
@@ -124,6 +124,7 @@
         boolean gift = number % 4 == 0;
         long sentAt = record.now();
         try (Client client = new Client(port)) {
+            record.line("usual client sends " + id + " with X-Remaining-Ms: " + REMAINING_MS);
             client.send(Client.job(
                     gift ? "record-gift" : "directory-page", id, REMAINING_MS, gift ? "key" + number : null, new byte[200]));
             sentAt = record.now();
--- a/review/standins/SpoiltAnswers.java
+++ b/review/standins/SpoiltAnswers.java
@@ -80,6 +80,7 @@
     private void client(int port, String id, Record record) {
         boolean gift = id.startsWith("gift-");
         try (Client client = new Client(port)) {
+            record.line("client sends " + id + " with X-Remaining-Ms: " + REMAINING_MS);
             client.send(Client.job(
                     gift ? "record-gift" : "directory-page", id, REMAINING_MS, gift ? "key-" + id : null, new byte[200]));
             Http.Message answer = client.answer(REMAINING_MS + 2_000);
