Metrics of connections, of the wait for descriptors and of direct memory

A loop without processor time, a loop that sleeps in an allocation, and connections that wait in the system's backlog looked the same.

Change: /ops/stats tells connections of clients and attempts with their maximum, the time in which new clients may have waited for a descriptor, and the buffers outside the heap. AcceptGate counts the wait from a pause until the backlog is known to be empty: an accept that found nothing, or a select after which there was nothing to accept.

--- a/src/main/java/saffronferry/lifecycle/EffectiveSettings.java
+++ b/src/main/java/saffronferry/lifecycle/EffectiveSettings.java
@@ -79,7 +79,7 @@
 
     void start(Vertx vertx, DispatcherNetwork wire, Metrics metrics) {
         this.wire = wire;
-        metrics.setAdditionalMetrics(this::metrics);
+        metrics.addAdditionalMetrics(this::metrics);
         wire.onSettingsDatagram((peer, bytes) -> gossip.receive(clock.now(), peer, bytes));
         tick(vertx);
     }
--- a/src/main/java/saffronferry/limit/AcceptGate.java
+++ b/src/main/java/saffronferry/limit/AcceptGate.java
@@ -18,6 +18,8 @@
     /** After a start, one more connection per turn is accepted each time that this many have been accepted. */
     private static final int ACCEPTS_PER_STEP = 8;
 
+    private static final long NOT_WAITING = Long.MIN_VALUE;
+
     private final DescriptorBudget descriptors;
     private final Purpose purpose;
     private final int lowMark;
@@ -26,6 +28,10 @@
     private int acceptedCount;
     private int closingCount;
     private long pausedUntil = Long.MIN_VALUE;
+    /** Since when connections may wait in the backlog; {@link #NOT_WAITING} while it is empty. */
+    private long waitingSince = NOT_WAITING;
+
+    private long pastWaitMs;
 
     /** Creates a gate for clients' connections. */
     public AcceptGate(DescriptorBudget descriptors) {
@@ -45,7 +51,15 @@
 
     /** Takes a descriptor for a connection to be accepted now; false if accepting is paused. */
     public boolean tryAcquire(long now) {
-        return now >= pausedUntil && descriptors.tryTake(purpose);
+        boolean acquired = now >= pausedUntil && descriptors.tryTake(purpose);
+        if (!acquired) {
+            startWait(now);
+        }
+        return acquired;
+    }
+
+    private void startWait(long now) {
+        waitingSince = waitingSince == NOT_WAITING ? now : waitingSince;
     }
 
     /** The connection for which a descriptor was taken has been accepted. */
@@ -55,14 +69,41 @@
     }
 
     /** No connection was pending; gives the descriptor back. */
-    public void nothingAccepted() {
+    public void nothingAccepted(long now) {
         descriptors.release(purpose);
+        backlogEmpty(now);
+    }
+
+    /** No connection waits in the backlog. */
+    public void backlogEmpty(long now) {
+        pastWaitMs += waitMs(now);
+        waitingSince = NOT_WAITING;
+    }
+
+    /** Whether connections may wait in the backlog since an earlier pause. */
+    public boolean mayWait() {
+        return waitingSince != NOT_WAITING;
+    }
+
+    /**
+     * The longest time that a connection accepted now can have waited in the backlog because accepting was paused, in
+     * milliseconds. The operating system does not tell when a connection was established, so this is the time since
+     * the backlog was last known to be empty.
+     */
+    public long waitMs(long now) {
+        return mayWait() ? Math.max(0, now - waitingSince) : 0;
+    }
+
+    /** The time in milliseconds since the start in which connections may have waited in the backlog. */
+    public long totalWaitMs(long now) {
+        return pastWaitMs + waitMs(now);
     }
 
     /** The system call failed; returns the time to pause. */
     public long acceptFailed(long now) {
         long currentPause = pause;
         pausedUntil = now + currentPause;
+        startWait(now);
         pause = Math.min(MAX_PAUSE_MS, 2 * pause);
         descriptors.release(purpose);
         return currentPause;
--- a/src/main/java/saffronferry/ops/Metrics.java
+++ b/src/main/java/saffronferry/ops/Metrics.java
@@ -1,5 +1,6 @@
 package saffronferry.ops;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.function.Supplier;
@@ -35,7 +36,7 @@
     private final List<String> classes;
     private final long[][] responses;
     private final long[] attempts;
-    private Supplier<List<Metric>> additionalMetrics = List::of;
+    private final List<Supplier<List<Metric>>> additionalMetrics = new ArrayList<>();
 
     public Metrics(List<String> classes) {
         this.classes = List.copyOf(classes);
@@ -43,9 +44,9 @@
         attempts = new long[classes.size()];
     }
 
-    /** Sets a supplier of additional metrics, called each time the metrics are formatted. */
-    public void setAdditionalMetrics(Supplier<List<Metric>> supplier) {
-        additionalMetrics = supplier;
+    /** Adds a supplier of additional metrics, called each time the metrics are formatted. */
+    public void addAdditionalMetrics(Supplier<List<Metric>> supplier) {
+        additionalMetrics.add(supplier);
     }
 
     /** Counts the final response to a request of the class. */
@@ -105,8 +106,9 @@
                 "app_pool_ejected",
                 "Workers on the list that are avoided, by hand or by choice.",
                 snapshot.poolEjected);
-        for (Metric metric : Stream.concat(snapshot.additional.stream(), additionalMetrics.get().stream())
-                .toList()) {
+        Stream<Metric> supplied = additionalMetrics.stream().flatMap(supplier -> supplier.get().stream());
+        for (Metric metric :
+                Stream.concat(snapshot.additional.stream(), supplied).toList()) {
             appendHeader(out, metric.name, metric.type, metric.help);
             String value = metric.value == Math.rint(metric.value)
                     ? Long.toString((long) metric.value)
--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -217,9 +217,22 @@
             for (int i = gate.acceptsPerTurn(); more && i > 0; i--) {
                 more = acceptOne();
             }
+            if (more && gate.mayWait()) {
+                checkForEmptyBacklog();
+            }
             return 0;
         }
 
+        /** Tells the gate that the backlog is empty if the next select finds no connection to accept. */
+        private void checkForEmptyBacklog() {
+            int acceptedBefore = acceptedCount;
+            afterNextSelect(eventLoop(), () -> {
+                if (!paused && acceptedCount == acceptedBefore) {
+                    gate.backlogEmpty(now());
+                }
+            });
+        }
+
         private boolean acceptOne() {
             if (!gate.tryAcquire(now())) {
                 pause();
@@ -228,7 +241,7 @@
             try {
                 SocketChannel socket = BoundedTransport.this.accept(javaChannel());
                 if (socket == null) {
-                    gate.nothingAccepted();
+                    gate.nothingAccepted(now());
                     return false;
                 }
                 gate.accepted();
@@ -267,6 +280,7 @@
             if (paused && isOpen() && gate.canResume(now())) {
                 paused = false;
                 config().setAutoRead(true);
+                checkForEmptyBacklog();
             }
         }
 
--- a/src/main/java/saffronferry/wire/DispatcherNetwork.java
+++ b/src/main/java/saffronferry/wire/DispatcherNetwork.java
@@ -94,6 +94,8 @@
                 log);
         peerSocket = new PeerSocket(
                 vertx, options.peers(), (peer, bytes) -> onDatagram(peer, bytes), transport.controlUsage(), log);
+        metrics.addAdditionalMetrics(
+                new ResourceMetrics(descriptors, transport.clientAdmission().gate())::metrics);
         channelServer = new ChannelServer(
                 vertx, new RpcParser(options.classes(), options.tenants()), coordinator, transport, metrics, log);
     }
--- /dev/null
+++ b/src/main/java/saffronferry/wire/ResourceMetrics.java
@@ -0,0 +1,57 @@
+package saffronferry.wire;
+
+import io.netty.buffer.ByteBufAllocatorMetricProvider;
+import io.vertx.core.buffer.impl.VertxByteBufAllocator;
+import java.util.List;
+import saffronferry.limit.AcceptGate;
+import saffronferry.limit.DescriptorBudget;
+import saffronferry.limit.DescriptorBudget.Purpose;
+import saffronferry.ops.Metrics.Metric;
+
+/**
+ * Metrics of the resources that connections take: descriptors, buffers outside the heap, and the time in which new
+ * connections had to wait. They tell a dispatcher that is out of one of these from one that is out of processor time.
+ */
+final class ResourceMetrics {
+    private final DescriptorBudget descriptors;
+    private final AcceptGate gate;
+
+    ResourceMetrics(DescriptorBudget descriptors, AcceptGate gate) {
+        this.descriptors = descriptors;
+        this.gate = gate;
+    }
+
+    /** The current values. */
+    List<Metric> metrics() {
+        return List.of(
+                gauge("app_client_connections", "Connections of clients.", descriptors.used(Purpose.CLIENTS)),
+                gauge(
+                        "app_client_connections_max",
+                        "Connections that clients may hold.",
+                        descriptors.maximum(Purpose.CLIENTS)),
+                gauge(
+                        "app_worker_connections",
+                        "Connections of attempts to workers.",
+                        descriptors.used(Purpose.WORKERS)),
+                gauge(
+                        "app_worker_connections_max",
+                        "Connections that attempts may hold.",
+                        descriptors.maximum(Purpose.WORKERS)),
+                new Metric(
+                        "app_accept_wait_seconds",
+                        "counter",
+                        "Time in which new clients may have waited for a descriptor.",
+                        gate.totalWaitMs(System.nanoTime() / 1_000_000) / 1e3),
+                gauge("app_direct_memory_bytes", "Buffers outside the heap, in use or pooled.", directMemoryBytes()));
+    }
+
+    private static long directMemoryBytes() {
+        return ((ByteBufAllocatorMetricProvider) VertxByteBufAllocator.POOLED_ALLOCATOR)
+                .metric()
+                .usedDirectMemory();
+    }
+
+    private static Metric gauge(String name, String help, double value) {
+        return new Metric(name, "gauge", help, value);
+    }
+}
--- a/src/test/java/saffronferry/limit/LimitsTest.java
+++ b/src/test/java/saffronferry/limit/LimitsTest.java
@@ -136,10 +136,41 @@
         gate.connectionClosed();
         assertEquals(1, freed[0]);
         assertTrue(gate.canResume(0) && gate.tryAcquire(0));
-        gate.nothingAccepted();
+        gate.nothingAccepted(0);
         assertEquals(127, d.used(Purpose.CLIENTS));
     }
 
+    /** The time in which connections may wait runs from a pause until the backlog is known to be empty. */
+    @Test
+    void theGateCountsHowLongConnectionsMayHaveWaited() {
+        AcceptGate gate = new AcceptGate(new DescriptorBudget(256, OWN));
+        assertTrue(gate.tryAcquire(0));
+        gate.accepted();
+        assertFalse(gate.mayWait());
+        assertEquals(0, gate.waitMs(500));
+        for (int i = 1; i < 128; i++) {
+            assertTrue(gate.tryAcquire(1_000));
+            gate.accepted();
+        }
+        assertFalse(gate.tryAcquire(1_000));
+        gate.connectionClosing();
+        gate.connectionClosed();
+        assertTrue(gate.tryAcquire(3_000));
+        gate.accepted();
+        assertEquals(2_000, gate.waitMs(3_000), "more connections may wait behind the accepted one");
+        gate.connectionClosing();
+        gate.connectionClosed();
+        assertTrue(gate.tryAcquire(3_500));
+        gate.nothingAccepted(3_500);
+        assertEquals(0, gate.waitMs(4_000));
+        assertTrue(gate.tryAcquire(4_000));
+        gate.acceptFailed(4_000);
+        assertEquals(100, gate.waitMs(4_100));
+        assertEquals(2_600, gate.totalWaitMs(4_100));
+        gate.backlogEmpty(4_100);
+        assertEquals(2_600, gate.totalWaitMs(9_000));
+    }
+
     /** Changes of capacity are reported: lost with the last descriptor or a refusal by the system, then regained. */
     @Test
     void attemptCapacityIsReportedOnChangesOnly() {
