Bound the memory of pipelined requests, and drop input beyond it undecoded

Cause: the decoder joined undecoded input in direct buffers that kept consumed bytes for up to 16 reads of 64 KiB, also for input that was dropped afterwards, until the 16 MB of direct memory were used up. From then on each allocation on the event loop slept for half a second. Kept bodies were slices that held whole read buffers, and heads counted nowhere, so that long heads filled the heap instead.

Evidence: "Cannot reserve 131072 bytes of direct buffer memory" in the log; thread dumps 0.7 s apart with the loop in Bits.reserveMemory under expandCumulation. Ruled out: load (processor time 977 to 980 ms over 1.4 s).

The fixture starts processes with deploy/serve.jvm, the limits of a deployment.

--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -1,6 +1,7 @@
 package saffronferry.wire;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.EventLoop;
@@ -299,6 +300,11 @@
 
     /** An accepted connection that has sent its first bytes. */
     final class AcceptedConnection extends NioSocketChannel {
+        private static final int MIN_READ_BUFFER_BYTES = 64;
+        private static final int INITIAL_READ_BUFFER_BYTES = 2 * 1024;
+        /** A buffer stays in use as long as a part of it cannot be decoded, at every connection at the same time. */
+        private static final int MAX_READ_BUFFER_BYTES = 4 * 1024;
+
         private final long connectedNanos;
         private final AcceptGate gate;
         private boolean closed;
@@ -307,6 +313,8 @@
             super(parent, socket);
             this.gate = gate;
             this.connectedNanos = connectedNanos;
+            config().setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(
+                    MIN_READ_BUFFER_BYTES, INITIAL_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES));
         }
 
         /** When the connection was accepted, as {@code System.nanoTime} counts. */
--- a/src/main/java/saffronferry/wire/ChannelServer.java
+++ b/src/main/java/saffronferry/wire/ChannelServer.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.Locale;
+import saffronferry.limit.PipelineBudget;
 import saffronferry.log.BoundedLog;
 import saffronferry.ops.DrainState.Phase;
 import saffronferry.ops.Metrics;
@@ -41,6 +42,7 @@
             RpcParser parser,
             RpcCoordinator<ForwardedRequest> coordinator,
             BoundedTransport transport,
+            PipelineBudget pipelineBudget,
             Metrics metrics,
             BoundedLog log) {
         this.parser = parser;
@@ -58,7 +60,7 @@
                 .setMaxHeaderSize(MAX_HEAD_BYTES);
         server = vertx.createHttpServer(options);
         server.connectionHandler(connection -> {
-            StrictDecoder.install(connection, options);
+            StrictDecoder.install(connection, options, pipelineBudget);
             clientConnections.add(connection);
         });
         server.requestHandler(this::handle);
--- a/src/main/java/saffronferry/wire/DispatcherNetwork.java
+++ b/src/main/java/saffronferry/wire/DispatcherNetwork.java
@@ -14,6 +14,7 @@
 import saffronferry.agree.Gossip;
 import saffronferry.limit.AttemptCapacity;
 import saffronferry.limit.DescriptorBudget;
+import saffronferry.limit.PipelineBudget;
 import saffronferry.log.BoundedLog;
 import saffronferry.ops.Metrics;
 import saffronferry.state.CallAttempt;
@@ -94,10 +95,18 @@
                 log);
         peerSocket = new PeerSocket(
                 vertx, options.peers(), (peer, bytes) -> onDatagram(peer, bytes), transport.controlUsage(), log);
-        metrics.addAdditionalMetrics(
-                new ResourceMetrics(descriptors, transport.clientAdmission().gate())::metrics);
+        PipelineBudget pipelineBudget = new PipelineBudget();
+        ResourceMetrics resourceMetrics =
+                new ResourceMetrics(descriptors, transport.clientAdmission().gate(), pipelineBudget);
+        metrics.addAdditionalMetrics(resourceMetrics::metrics);
         channelServer = new ChannelServer(
-                vertx, new RpcParser(options.classes(), options.tenants()), coordinator, transport, metrics, log);
+                vertx,
+                new RpcParser(options.classes(), options.tenants()),
+                coordinator,
+                transport,
+                pipelineBudget,
+                metrics,
+                log);
     }
 
     /** Opens the peer socket, which the first decisions already use, and then applies the known list. */
--- a/src/main/java/saffronferry/wire/ResourceMetrics.java
+++ b/src/main/java/saffronferry/wire/ResourceMetrics.java
@@ -6,6 +6,7 @@
 import saffronferry.limit.AcceptGate;
 import saffronferry.limit.DescriptorBudget;
 import saffronferry.limit.DescriptorBudget.Purpose;
+import saffronferry.limit.PipelineBudget;
 import saffronferry.ops.Metrics.Metric;
 
 /**
@@ -15,10 +16,12 @@
 final class ResourceMetrics {
     private final DescriptorBudget descriptors;
     private final AcceptGate gate;
+    private final PipelineBudget pipelineBudget;
 
-    ResourceMetrics(DescriptorBudget descriptors, AcceptGate gate) {
+    ResourceMetrics(DescriptorBudget descriptors, AcceptGate gate, PipelineBudget pipelineBudget) {
         this.descriptors = descriptors;
         this.gate = gate;
+        this.pipelineBudget = pipelineBudget;
     }
 
     /** The current values. */
@@ -42,6 +45,10 @@
                         "counter",
                         "Time in which new clients may have waited for a descriptor.",
                         gate.totalWaitMs(System.nanoTime() / 1_000_000) / 1e3),
+                gauge(
+                        "app_pipelined_bytes",
+                        "Memory of requests that clients sent behind an open one.",
+                        pipelineBudget.totalBytes()),
                 gauge("app_direct_memory_bytes", "Buffers outside the heap, in use or pooled.", directMemoryBytes()));
     }
 
--- /dev/null
+++ b/src/test/java/saffronferry/lifecycle/ClientMemoryTest.java
@@ -0,0 +1,101 @@
+package saffronferry.lifecycle;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+import org.junit.Test;
+
+/** A process with the memory limits of a deployment answers usual clients while others send as much as they can. */
+public class ClientMemoryTest extends SocketsFixture {
+    private static final int REMAINING_MS = 6_000;
+    /** An answer up to half a second late, and 50 ms later on sockets, is not lost. */
+    private static final int SLACK_MS = 550;
+
+    private static final int USUAL_REQUESTS = 60;
+    private static final int USUAL_INTERVAL_MS = 50;
+
+    private static String head(String id) {
+        return "POST /directory-page?obj=7f HTTP/1.1\r\nHost: h\r\nX-Lane: directory-page\r\nX-Remaining-Ms: 6000\r\nX-Txn: "
+                + id + "\r\n";
+    }
+
+    /** Many complete requests sent at once, each with a long header. */
+    private static String pipelined(int client, int requests, int headerLength) {
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < requests; i++) {
+            all.append(head("bad" + client + "-" + i))
+                    .append("Cookie: ")
+                    .append("c".repeat(headerLength))
+                    .append("\r\nContent-Length: 200\r\n\r\n")
+                    .append("b".repeat(200));
+        }
+        return all.toString();
+    }
+
+    /** Guards against direct buffers that grow with the input behind an open request until none can be allocated. */
+    @Test
+    public void hundredsOfPipelinedRequestsDoNotUseUpTheDirectMemory() throws Exception {
+        assertUsualClientsAreServedBeside(100, client -> pipelined(client, 800, 1024));
+    }
+
+    /** Guards against heads of pipelined requests that are queued without a limit. */
+    @Test
+    public void pipelinedRequestsWithLongHeadsDoNotUseUpTheHeap() throws Exception {
+        assertUsualClientsAreServedBeside(300, client -> pipelined(client, 33, 15_000));
+    }
+
+    private void assertUsualClientsAreServedBeside(int badClients, IntFunction<String> input) throws Exception {
+        Process process = launch(configFile(), 1024, "saffronferry.cli.Main", "serve");
+        awaitUp();
+        CountDownLatch started = new CountDownLatch(badClients);
+        for (int i = 0; i < badClients; i++) {
+            int number = i;
+            Socket socket = connect();
+            daemon(() -> {
+                started.countDown();
+                socket.getOutputStream().write(input.apply(number).getBytes(StandardCharsets.ISO_8859_1));
+            });
+            daemon(() -> socket.getInputStream().transferTo(java.io.OutputStream.nullOutputStream()));
+        }
+        assertTrue(started.await(10, TimeUnit.SECONDS));
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < USUAL_REQUESTS; i++) {
+            answers.add(sendRequest("directory-page", REMAINING_MS)
+                    .orTimeout(REMAINING_MS + SLACK_MS, TimeUnit.MILLISECONDS));
+            Thread.sleep(USUAL_INTERVAL_MS);
+        }
+        int inTime = 0;
+        for (CompletableFuture<HttpResponse<String>> answer : answers) {
+            inTime += answer.handle((response, failure) -> failure == null ? 1 : 0)
+                    .get(10, TimeUnit.SECONDS);
+        }
+        assertTrue("the process has not ended", process.isAlive());
+        assertEquals(USUAL_REQUESTS, inTime);
+    }
+
+    private interface SocketTask {
+        void run() throws IOException;
+    }
+
+    private static void daemon(SocketTask task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // the dispatcher has closed the connection, or the test is over
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
--- a/src/test/java/saffronferry/lifecycle/SocketsFixture.java
+++ b/src/test/java/saffronferry/lifecycle/SocketsFixture.java
@@ -222,9 +222,7 @@
         }
         command.addAll(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1",
-                "-XX:+UseSerialGC",
-                "-Xmx64m",
+                "@deploy/serve.jvm",
                 "-Djava.io.tmpdir=" + folder,
                 "-cp",
                 System.getProperty("java.class.path"),
