--- a/src/test/java/saffronferry/lifecycle/ClientMemoryTest.java
+++ b/src/test/java/saffronferry/lifecycle/ClientMemoryTest.java
@@ -54,6 +54,12 @@
         assertUsualClientsAreServedBeside(300, client -> pipelined(client, 33, 15_000));
     }
 
+    /** Guards against heads of many short headers, which take far more memory decoded than encoded. */
+    @Test
+    public void headsOfManyHeadersDoNotUseUpTheHeap() throws Exception {
+        assertUsualClientsAreServedBeside(300, client -> head("bad" + client) + "a:b\r\n".repeat(3_000));
+    }
+
     private void assertUsualClientsAreServedBeside(int badClients, IntFunction<String> input) throws Exception {
         Process process = launch(configFile(), 1024, "saffronferry.cli.Main", "serve");
         awaitUp();
