Count the time in the system's backlog as time of the client

Cause: a request that waits in the backlog while no descriptor is left for its client was taken for one sent when it was read: RpcCoordinator set its deadline from there, and what attempts tell counted from there.

Ruled out: a busy loop (1.24 s of processor time since its start) and slow workers.

A request whose bytes were there when its connection was accepted counts as sent at that time, the earliest possible. So no answer is later and no attempt is told more than the client has. Ruled out: the arrival from the system (TCP_INFO is not to be had without native code), and cutting only what attempts tell, which leaves late answers.

--- a/src/main/java/saffronferry/state/RpcInfo.java
+++ b/src/main/java/saffronferry/state/RpcInfo.java
@@ -24,4 +24,9 @@
                 ? MAX_DEADLINE_MULTIPLE * jobClass.deadline()
                 : MAX_REMAINING_WITHOUT_DEADLINE_US;
     }
+
+    /** The same RPC, of which the client has waited for some microseconds already. */
+    public RpcInfo afterWait(long waitedMicros) {
+        return new RpcInfo(name, rpcClass, tenant, Math.max(0, remaining - waitedMicros), slots, clientRetry);
+    }
 }
--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -259,8 +259,8 @@
             }
         }
 
-        private void firstBytes(SocketChannel socket, long connectedNanos, ByteBuf bytes) {
-            AcceptedConnection connection = new AcceptedConnection(libraryAcceptor, socket, connectedNanos, gate);
+        private void firstBytes(SocketChannel socket, PendingConnections.Arrival arrival, ByteBuf bytes) {
+            AcceptedConnection connection = new AcceptedConnection(libraryAcceptor, socket, arrival, gate);
             // the library registers the connection and sets it up synchronously
             libraryAcceptor.pipeline().fireChannelRead(connection);
             if (connection.isRegistered()) {
@@ -307,12 +307,14 @@
 
         private final long connectedNanos;
         private final AcceptGate gate;
+        private long firstRequestWaitMs;
         private boolean closed;
 
-        AcceptedConnection(Channel parent, SocketChannel socket, long connectedNanos, AcceptGate gate) {
+        AcceptedConnection(Channel parent, SocketChannel socket, PendingConnections.Arrival arrival, AcceptGate gate) {
             super(parent, socket);
             this.gate = gate;
-            this.connectedNanos = connectedNanos;
+            connectedNanos = arrival.connectedNanos();
+            firstRequestWaitMs = arrival.firstBytesWaitMs();
             config().setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(
                     MIN_READ_BUFFER_BYTES, INITIAL_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES));
         }
@@ -327,6 +329,16 @@
             return (System.nanoTime() - connectedNanos) / 1_000_000;
         }
 
+        /**
+         * The longest time that a request can have waited before its connection was accepted; to be called once for
+         * each request of the connection. Only the first request can have waited.
+         */
+        long takeRequestWaitMs() {
+            long wait = firstRequestWaitMs;
+            firstRequestWaitMs = 0;
+            return wait;
+        }
+
         @Override
         protected void doClose() throws Exception {
             super.doClose();
--- a/src/main/java/saffronferry/wire/ChannelServer.java
+++ b/src/main/java/saffronferry/wire/ChannelServer.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.impl.HttpServerConnection;
 import java.util.List;
 import java.util.Locale;
 import saffronferry.limit.PipelineBudget;
@@ -110,6 +111,7 @@
     private void handle(HttpServerRequest request) {
         requestReceived = true;
         HttpConnection connection = request.connection();
+        long waitedMs = waitBeforeAcceptMs(connection);
         request.exceptionHandler(e -> {});
         if (!clientConnections.requestStarted(
                 connection, () -> reject(request, new RejectedRequestException(408, "too slow")))) {
@@ -139,7 +141,7 @@
                 throw new RejectedRequestException(405, "jobs arrive by POST");
             }
             RpcInfo info = parser.parse(request);
-            receive(request, info);
+            receive(request, info.afterWait(waitedMs * 1000));
         } catch (RejectedRequestException e) {
             reject(request, e);
         } catch (RuntimeException e) {
@@ -148,6 +150,13 @@
         }
     }
 
+    /** How long the request may have waited in the backlog; the time that the client states includes this. */
+    private static long waitBeforeAcceptMs(HttpConnection connection) {
+        return ((HttpServerConnection) connection).channel() instanceof BoundedTransport.AcceptedConnection accepted
+                ? accepted.takeRequestWaitMs()
+                : 0;
+    }
+
     /** Rejects ambiguous framing, which allows request smuggling, and bodies that are too long. */
     private static void checkFraming(HttpServerRequest request) throws RejectedRequestException {
         String length = request.getHeader("Content-Length");
--- a/src/main/java/saffronferry/wire/PendingConnections.java
+++ b/src/main/java/saffronferry/wire/PendingConnections.java
@@ -23,9 +23,17 @@
 final class PendingConnections {
     /** Takes over a connection together with the first bytes read from it. */
     interface FirstBytesHandler {
-        void onFirstBytes(SocketChannel socket, long connectedNanos, ByteBuf bytes);
+        void onFirstBytes(SocketChannel socket, Arrival arrival, ByteBuf bytes);
     }
 
+    /**
+     * When a connection and its first bytes arrived.
+     *
+     * @param connectedNanos when the connection was accepted, as {@code System.nanoTime} counts
+     * @param firstBytesWaitMs the longest time that its first bytes can have waited in the backlog with it
+     */
+    record Arrival(long connectedNanos, long firstBytesWaitMs) {}
+
     private static final int MAX_FIRST_READ_BYTES = 4096;
 
     private final AcceptGate gate;
@@ -77,7 +85,11 @@
         private final SocketChannel socket;
         private final FirstBytesHandler handler;
         private final long connectedNanos = System.nanoTime();
+        /** The longest time that the connection can have waited in the backlog. */
+        private final long backlogWaitMs = gate.waitMs(connectedNanos / 1_000_000);
+
         private final Future<?> timer;
+        private boolean wasSilent;
         private boolean removed;
 
         PendingConnection(NioEventLoop loop, SocketChannel socket, FirstBytesHandler handler) {
@@ -89,6 +101,7 @@
 
         void markSilent() {
             if (!removed) {
+                wasSilent = true;
                 silent.add(this);
                 onSilent.run();
             }
@@ -107,7 +120,9 @@
                 close();
             } else if (bytesRead > 0 && remove()) {
                 // the selection key is kept: the library takes it over when it registers the same socket
-                handler.onFirstBytes(socket, connectedNanos, Unpooled.copiedBuffer(buffer.flip()));
+                // bytes of a connection that was silent before have just arrived
+                Arrival arrival = new Arrival(connectedNanos, wasSilent ? 0 : backlogWaitMs);
+                handler.onFirstBytes(socket, arrival, Unpooled.copiedBuffer(buffer.flip()));
             }
         }
 
