Divide descriptors between two processes by what each needs, not by half

What callers saw (review/2): in a replacement with 256 descriptors the new process took in 64 clients and left the others in the backlog for 3 s, though clients may hold a third, 85.

Cause: DescriptorBudget.shareAmong gave each of two processes half from the first sight of the other until its end. The predecessor leaves the address at the yes and needs nothing any more. On the same path, a starting process took half from the one that serves, and an operator's call was closed at once for want of descriptors.

Evidence: /ops/stats of both: the old process at a maximum of 64 and 0 in use for 8 s, the new one at its maximum with app_accept_wait_seconds 0 to 3.16. Ruled out: load, and workers (attempts 42 to 64).

Change: processes tell each other their claims with their jobs. A starting one claims a fifth and listens only once it has its list; a replaced one claims what it still needs; the one that accepts clients has the rest. A claim is lowered before it is told and raised only by the one that accepts, so the sum stays within the limit at any moment. Guarantees hold in full wherever they fit, operators keep three, and a process that has closed its listener closes nobody to make room. Ruled out: an equal split of clients alone, which still leaves the idle half unused; raising at the yes, before the other has lowered.

Tests: BacklogTest.aSuccessorHasRoomForAThirdOfTheDescriptorsAsClients failed on the code before (its maximum stays at 128 of 170) and passes now.

--- a/src/main/java/saffronferry/lifecycle/DispatcherServer.java
+++ b/src/main/java/saffronferry/lifecycle/DispatcherServer.java
@@ -198,9 +198,7 @@
         }
         return console.compose(v -> wire.start(config.takeKnownList()))
                 .onSuccess(v -> startSiblingMonitor())
-                .compose(v -> wire.server().listen(config.listen))
-                .compose(v -> wire.warmUp(config.listen))
-                .compose(v -> wire.awaitFirstList())
+                .compose(v -> listenAndAwaitFirstList())
                 .compose(v -> siblingMonitor == null ? Future.succeededFuture() : siblingMonitor.announceServing())
                 .onSuccess(v -> {
                     ready = true;
@@ -210,6 +208,19 @@
                 .mapEmpty();
     }
 
+    /**
+     * While another process serves, this one listens as late as possible: from then on it gets a part of the new
+     * clients, but has few descriptors until the other one leaves the address to it.
+     */
+    private Future<Void> listenAndAwaitFirstList() {
+        Future<Void> firstList = wire.awaitFirstList();
+        boolean othersServe = siblingMonitor != null && siblingMonitor.hasSiblings();
+        return (othersServe ? firstList : Future.<Void>succeededFuture())
+                .compose(v -> wire.server().listen(config.listen))
+                .compose(v -> wire.warmUp(config.listen))
+                .compose(v -> firstList);
+    }
+
     private void startSiblingMonitor() {
         if (siblingMonitor != null) {
             siblingMonitor.start(wire.coordinator()::handoverState, new SiblingMonitor.Listener() {
@@ -227,6 +238,11 @@
                 public void replacedChanged(boolean isReplaced) {
                     setReplaced(isReplaced);
                 }
+
+                @Override
+                public boolean acceptsClients() {
+                    return wire.acceptsClients();
+                }
             });
         }
     }
--- a/src/main/java/saffronferry/lifecycle/ProcessRegistry.java
+++ b/src/main/java/saffronferry/lifecycle/ProcessRegistry.java
@@ -14,6 +14,7 @@
 import org.json.JSONException;
 import org.json.JSONObject;
 import saffronferry.HandoverState;
+import saffronferry.limit.DescriptorClaim;
 
 /**
  * Registers the processes of a dispatcher by mark files in the folder that they share: one for each process that has
@@ -23,6 +24,7 @@
 class ProcessRegistry {
     private static final String PROCESS_MARK = ".process-";
     private static final String STATE_FILE = ".told-";
+    private static final String CLAIM_KEY = "descriptors";
     /** The coarsest resolution of modification times in file systems. */
     private static final long FILE_TIME_STEP_MS = 2_000;
 
@@ -102,31 +104,46 @@
         return true;
     }
 
-    /** The number of live siblings, and their combined state. */
-    record Siblings(int count, HandoverState state) {}
+    /** The number of live siblings, their combined state, and the descriptors that they claim as far as they tell. */
+    record Siblings(int count, HandoverState state, List<DescriptorClaim> claims) {
+        static final Siblings NONE = new Siblings(0, HandoverState.NONE, List.of());
+    }
+
+    /** What one process tells; the claim is null if it tells none. */
+    private record ProcessState(HandoverState state, DescriptorClaim claim) {
+        static final ProcessState NONE = new ProcessState(HandoverState.NONE, null);
+    }
 
-    /** Publishes the own state if there are siblings, and reads theirs. */
-    Siblings exchangeState(HandoverState own) throws IOException {
+    /** Publishes the own state and claim if there are siblings, and reads theirs. */
+    Siblings exchangeState(HandoverState own, DescriptorClaim claim) throws IOException {
         List<Long> others = liveSiblings();
         if (others.isEmpty()) {
-            return new Siblings(0, HandoverState.NONE);
+            return Siblings.NONE;
         }
-        JSONObject json = new JSONObject()
-                .put("jobs", new JSONObject(own.busySlots()))
-                .put("learned", new JSONArray(own.learned()));
-        writeAtomically(stateFile(self), json.toString());
+        writeAtomically(stateFile(self), format(own, claim).toString());
         Map<String, Integer> jobs = new HashMap<>();
+        List<DescriptorClaim> claims = new ArrayList<>();
         double[] learned = {};
         for (long other : others) {
-            HandoverState state = readState(stateFile(other));
-            state.busySlots().forEach((worker, slots) -> jobs.merge(worker, slots, Integer::sum));
-            learned = state.learned().length > 0 ? state.learned() : learned;
+            ProcessState told = readState(stateFile(other));
+            told.state().busySlots().forEach((worker, slots) -> jobs.merge(worker, slots, Integer::sum));
+            learned = told.state().learned().length > 0 ? told.state().learned() : learned;
+            if (told.claim() != null) {
+                claims.add(told.claim());
+            }
         }
-        return new Siblings(others.size(), new HandoverState(jobs, learned));
+        return new Siblings(others.size(), new HandoverState(jobs, learned), claims);
+    }
+
+    private static JSONObject format(HandoverState state, DescriptorClaim claim) {
+        return new JSONObject()
+                .put("jobs", new JSONObject(state.busySlots()))
+                .put("learned", new JSONArray(state.learned()))
+                .put(CLAIM_KEY, new JSONObject().put("maximum", claim.maximum()).put("accepting", claim.accepting()));
     }
 
     /** Reads the state of a process; empty if it has not written any, or a version that cannot be parsed. */
-    private static HandoverState readState(Path file) {
+    private static ProcessState readState(Path file) {
         try {
             JSONObject json = new JSONObject(Files.readString(file));
             Map<String, Integer> jobs = new HashMap<>();
@@ -137,12 +154,20 @@
             for (int i = 0; i < values.length; i++) {
                 values[i] = learned.getDouble(i);
             }
-            return new HandoverState(jobs, values);
+            return new ProcessState(new HandoverState(jobs, values), readClaim(json));
         } catch (IOException | JSONException e) {
-            return HandoverState.NONE;
+            return ProcessState.NONE;
         }
     }
 
+    /** Null if there is none, as in the state of an earlier version of the program. */
+    private static DescriptorClaim readClaim(JSONObject json) {
+        JSONObject claim = json.optJSONObject(CLAIM_KEY);
+        return claim == null
+                ? null
+                : new DescriptorClaim(Math.max(0, claim.getInt("maximum")), claim.getBoolean("accepting"));
+    }
+
     /** Writes by a rename, so that readers never see a partly written file. */
     private void writeAtomically(Path file, String text) throws IOException {
         Path temporary = Files.createTempFile(folder, name, ".new");
--- a/src/main/java/saffronferry/lifecycle/SiblingMonitor.java
+++ b/src/main/java/saffronferry/lifecycle/SiblingMonitor.java
@@ -6,6 +6,9 @@
 import java.util.function.Supplier;
 import saffronferry.HandoverState;
 import saffronferry.limit.DescriptorBudget;
+import saffronferry.limit.DescriptorClaim;
+import saffronferry.limit.DescriptorSharing;
+import saffronferry.limit.DescriptorSharing.Role;
 import saffronferry.log.BoundedLog;
 import saffronferry.ops.Bans;
 
@@ -33,12 +36,15 @@
 
         /** Another process has started or stopped serving in place of this one. */
         void replacedChanged(boolean isReplaced);
+
+        /** Whether this process still accepts clients. */
+        boolean acceptsClients();
     }
 
     private final Vertx vertx;
     private final ProcessRegistry registry;
     private final BanFile file;
-    private final DescriptorBudget descriptors;
+    private final DescriptorSharing descriptors;
     private final BoundedLog log;
     private ProcessRegistry.Siblings last;
     private Supplier<HandoverState> ownState;
@@ -51,16 +57,21 @@
         this.vertx = vertx;
         this.registry = registry;
         this.file = file;
-        this.descriptors = descriptors;
+        this.descriptors = new DescriptorSharing(descriptors);
         this.log = log;
         try {
             registry.registerStarted();
-            last = registry.exchangeState(HandoverState.NONE);
+            last = registry.exchangeState(HandoverState.NONE, this.descriptors.claim());
         } catch (IOException e) {
             log.line("cannot register this process", String.valueOf(e));
-            last = new ProcessRegistry.Siblings(0, HandoverState.NONE);
+            last = ProcessRegistry.Siblings.NONE;
         }
-        descriptors.shareAmong(1 + last.count());
+        this.descriptors.update(Role.STARTING, last.count(), last.claims());
+    }
+
+    /** Whether other processes of this dispatcher were found at the last poll. */
+    boolean hasSiblings() {
+        return last.count() > 0;
     }
 
     /** Starts polling: publishes the own state to siblings and passes their changes to the listener. */
@@ -78,8 +89,9 @@
     /** The next poll is scheduled when this one has ended, so that polls cannot pile up behind a slow folder. */
     private void poll() {
         HandoverState published = last.count() > 0 ? ownState.get() : HandoverState.NONE;
+        DescriptorClaim claim = descriptors.claim();
         vertx.executeBlocking(() -> {
-                    ProcessRegistry.Siblings siblings = registry.exchangeState(published);
+                    ProcessRegistry.Siblings siblings = registry.exchangeState(published, claim);
                     return new PollResult(siblings, readChangedBans(), siblings.count() > 0 && registry.isReplaced());
                 })
                 .onComplete(polled -> {
@@ -109,11 +121,19 @@
         }
     }
 
+    private Role role() {
+        if (!announced) {
+            return Role.STARTING;
+        }
+        // until its listener is closed, a replaced process takes in what waits there
+        return replaced && !listener.acceptsClients() ? Role.REPLACED : Role.ACCEPTING;
+    }
+
     private void update(ProcessRegistry.Siblings next) {
         if (next.count() != last.count()) {
             log.line("processes of this dispatcher", Integer.toString(1 + next.count()));
-            descriptors.shareAmong(1 + next.count());
         }
+        descriptors.update(role(), next.count(), next.claims());
         if (!next.state().equals(last.state())) {
             listener.siblingStateChanged(next.state());
         }
--- a/src/main/java/saffronferry/limit/AcceptGate.java
+++ b/src/main/java/saffronferry/limit/AcceptGate.java
@@ -28,6 +28,7 @@
     private int acceptedCount;
     private int closingCount;
     private long pausedUntil = Long.MIN_VALUE;
+    private boolean listening = true;
     /** Since when connections may wait in the backlog; {@link #NOT_WAITING} while it is empty. */
     private long waitingSince = NOT_WAITING;
 
@@ -130,8 +131,13 @@
         return Math.min(MAX_ACCEPTS_PER_TURN, 1 + acceptedCount / ACCEPTS_PER_STEP);
     }
 
+    /** Sets whether new connections can come; without them, no room has to be made for any. */
+    public void setListening(boolean listening) {
+        this.listening = listening;
+    }
+
     /** Whether idle connections should be closed to make room for new ones. */
     public boolean isLow() {
-        return descriptors.available(purpose) + closingCount < lowMark;
+        return listening && descriptors.available(purpose) + closingCount < lowMark;
     }
 }
--- a/src/main/java/saffronferry/limit/DescriptorBudget.java
+++ b/src/main/java/saffronferry/limit/DescriptorBudget.java
@@ -1,6 +1,7 @@
 package saffronferry.limit;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -11,11 +12,19 @@
 public final class DescriptorBudget {
     /** Purposes of descriptors. Files and listening sockets are counted once, at the start. */
     public enum Purpose {
-        CLIENTS,
-        WORKERS,
-        PROBES,
-        DISCOVERY,
-        CONSOLE
+        CLIENTS(1),
+        WORKERS(1),
+        PROBES(2),
+        DISCOVERY(2),
+        /** More than {@link #LOW_CONSOLE}, so that a single call is never closed to make room. */
+        CONSOLE(3);
+
+        /** Guaranteed however few descriptors the process has while it shares them with another one. */
+        private final int minimum;
+
+        Purpose(int minimum) {
+            this.minimum = minimum;
+        }
     }
 
     /** Descriptors that are never given out. */
@@ -29,6 +38,12 @@
     private static final int PROBES = 8;
     private static final int CONSOLE = 6;
     private static final int MAX_CONSOLE = 16;
+    private static final int SUM_OF_MINIMA =
+            Arrays.stream(Purpose.values()).mapToInt(p -> p.minimum).sum();
+    /** Besides an attempt for each client, what a process needs that accepts no more clients. */
+    private static final int SPARE_WITH_CLIENTS = 16;
+    /** The same once its clients have gone. */
+    private static final int SPARE_WITHOUT_CLIENTS = 12;
 
     private final int limit;
     private final int heldByProcess;
@@ -67,23 +82,46 @@
         }
     }
 
+    /** The number of descriptors that all processes of the dispatcher share. */
+    int shareable() {
+        return limit - RESERVED;
+    }
+
+    /** Descriptors of the process itself, which belong to no purpose. */
+    int heldByProcess() {
+        return heldByProcess;
+    }
+
     /**
-     * Divides this process's part of the limit while {@code processes} processes of the dispatcher run. Descriptors
-     * held beyond the new numbers stay in use, and no more are given out until these are released.
+     * Limits this process to a part of the descriptors, those of the process itself included. Descriptors held beyond
+     * the new numbers stay in use, and no more are given out until these are released.
      */
-    public void shareAmong(int processes) {
-        int whole = limit - RESERVED - heldByProcess;
-        total = Math.max(Purpose.values().length, (limit - RESERVED) / processes - heldByProcess);
+    public void limitTo(int partOfProcess) {
+        int whole = shareable() - heldByProcess;
+        total = Math.max(SUM_OF_MINIMA, partOfProcess - heldByProcess);
+        boolean fits = total >= Arrays.stream(plannedGuaranteed).sum();
         unclaimedGuarantees = 0;
         for (Purpose p : Purpose.values()) {
             int i = p.ordinal();
-            guaranteed[i] = Math.max(1, plannedGuaranteed[i] * total / whole);
-            maximum[i] = Math.max(guaranteed[i], plannedMaximum[i] / processes);
+            int proportional = Math.max(p.minimum, plannedGuaranteed[i] * total / whole);
+            guaranteed[i] = fits ? plannedGuaranteed[i] : proportional;
+            maximum[i] = Math.max(guaranteed[i], plannedMaximum[i] * total / whole);
             unclaimedGuarantees += Math.max(0, guaranteed[i] - used[i]);
         }
         releaseListeners.forEach(Runnable::run);
     }
 
+    /**
+     * The part that suffices for a process that accepts no more clients: what is in use, an attempt for each client
+     * that it still serves, and some for repeats, the list, probes and operators.
+     */
+    int needed() {
+        int clients = used[Purpose.CLIENTS.ordinal()];
+        int workers = used[Purpose.WORKERS.ordinal()];
+        int spare = clients > 0 ? SPARE_WITH_CLIENTS : SPARE_WITHOUT_CLIENTS;
+        return heldByProcess + totalUsed + Math.max(0, clients - workers) + spare;
+    }
+
     private void plan(Purpose p, int guaranteedCount, int maximumCount) {
         guaranteed[p.ordinal()] = guaranteedCount;
         maximum[p.ordinal()] = maximumCount;
--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -81,6 +81,11 @@
         acceptors.forEach(Acceptor::resume);
     }
 
+    /** Whether a listening socket for clients is open. */
+    boolean acceptsClients() {
+        return acceptors.stream().anyMatch(a -> a.gate == clientAdmission.gate && a.isOpen());
+    }
+
     /** Leaves the client address to another process that listens there. */
     void handOverClientListener() {
         acceptors.stream().filter(a -> a.gate == clientAdmission.gate).forEach(Acceptor::handOverOnce);
@@ -97,6 +102,7 @@
         // earlier replacements that were handed over meanwhile
         acceptors.removeIf(a -> a.libraryAcceptor != a && !a.isOpen());
         acceptors.add(replacement);
+        clientAdmission.gate.setListening(true);
         loops.register(replacement)
                 .addListener(registered -> replacement.bind(address).addListener(bound -> {
                     if (!bound.isSuccess()) {
@@ -205,6 +211,8 @@
                 }
                 try {
                     javaChannel().close();
+                    gate.setListening(false);
+                    gate.backlogEmpty(now());
                 } catch (IOException e) {
                     log.line("listening socket not closed", e.getMessage());
                 }
--- a/src/main/java/saffronferry/wire/DispatcherNetwork.java
+++ b/src/main/java/saffronferry/wire/DispatcherNetwork.java
@@ -167,6 +167,11 @@
         transport.handOverClientListener();
     }
 
+    /** Whether clients can still connect to this process. */
+    public boolean acceptsClients() {
+        return transport.acceptsClients();
+    }
+
     /** Listens at the addresses again after the other process has ended. */
     public void resumeListening(Address clientListen) {
         transport.resumeClientListener(new InetSocketAddress(clientListen.host(), clientListen.port()));
