--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -211,7 +211,8 @@
                 }
                 try {
                     javaChannel().close();
-                    gate.setListening(false);
+                    // another listener may have been opened while this one waited for descriptors
+                    gate.setListening(acceptsClients());
                     gate.backlogEmpty(now());
                 } catch (IOException e) {
                     log.line("listening socket not closed", e.getMessage());
