--- a/src/main/java/saffronferry/limit/DescriptorSharing.java
+++ b/src/main/java/saffronferry/limit/DescriptorSharing.java
@@ -7,8 +7,8 @@
  * clients has all that the others do not claim. One that is starting claims a fixed part. One that has been replaced
  * claims what it still needs, and less and less of it.
  *
- * <p>The sum of the claims stays within the limit without an agreement: a claim is lowered before it is told, and raised
- * only by the one process that accepts clients, within what the others have told. Not thread-safe.
+ * <p>The sum of the claims stays within the limit without an agreement: a claim is lowered before it is told, and
+ * raised only by the one process that accepts clients, within what the others have told. Not thread-safe.
  */
 public final class DescriptorSharing {
     /** What a process does with regard to clients. */
--- a/src/main/java/saffronferry/wire/PipeliningHandler.java
+++ b/src/main/java/saffronferry/wire/PipeliningHandler.java
@@ -23,8 +23,8 @@
  * Passes pipelined requests to the library one at a time, and keeps reading from the connection meanwhile. Without it,
  * the library buffers the input behind an open request and stops reading once the buffer is large. It would then not
  * notice that the client has closed the connection, and would serve all its requests in turn. Requests behind an open
- * one are queued here within a {@link PipelineBudget}. Input beyond it is dropped, and the connection is closed once the
- * queued requests are answered.
+ * one are queued here within a {@link PipelineBudget}. Input beyond it is dropped, and the connection is closed once
+ * the queued requests are answered.
  */
 final class PipeliningHandler extends ChannelDuplexHandler {
     /** Approximate memory of a queued object, and of a header in it, besides their characters and bytes. */
--- a/src/main/java/saffronferry/wire/StrictDecoder.java
+++ b/src/main/java/saffronferry/wire/StrictDecoder.java
@@ -16,12 +16,11 @@
 import saffronferry.limit.PipelineBudget;
 
 /**
- * Decodes requests like the library's decoder, with some differences. It keeps both Content-Length and Transfer-Encoding
- * in a head that has both: the library's decoder drops Content-Length, so that later handlers could not recognize and
- * reject such a request, which may smuggle another one. It also records when the first byte of each request arrived,
- * since the library reports a request only once its head is complete. It
- * decodes no input that will be dropped. And it limits the number of headers: a head of many short ones takes a multiple
- * of its size in memory.
+ * Decodes requests like the library's decoder, with some differences. It keeps both Content-Length and
+ * Transfer-Encoding in a head that has both: the library's decoder drops Content-Length, so that later handlers could
+ * not recognize and reject such a request, which may smuggle another one. It also records when the first byte of each
+ * request arrived, since the library reports a request only once its head is complete. It decodes no input that will
+ * be dropped. And it limits the number of headers: a head of many short ones takes a multiple of its size in memory.
  */
 final class StrictDecoder extends VertxHttpRequestDecoder {
     /** Lines of a head, or of a trailer. */
--- a/src/test/java/saffronferry/lifecycle/BacklogTest.java
+++ b/src/test/java/saffronferry/lifecycle/BacklogTest.java
@@ -94,7 +94,7 @@
     }
 
     /**
-     * Guards against a successor that has half of the descriptors until its predecessor ends, though that one has nothing
+     * Guards against a successor that has half of the descriptors until its predecessor ends, though that has nothing
      * to do any more: clients may hold a third of all.
      */
     @Test
--- a/src/test/java/saffronferry/lifecycle/ClientMemoryTest.java
+++ b/src/test/java/saffronferry/lifecycle/ClientMemoryTest.java
@@ -25,7 +25,8 @@
     private static final int USUAL_INTERVAL_MS = 50;
 
     private static String head(String id) {
-        return "POST /directory-page?obj=7f HTTP/1.1\r\nHost: h\r\nX-Lane: directory-page\r\nX-Remaining-Ms: 6000\r\nX-Txn: "
+        return "POST /directory-page?obj=7f HTTP/1.1\r\nHost: h\r\nX-Lane: directory-page\r\n"
+                + "X-Remaining-Ms: 6000\r\nX-Txn: "
                 + id + "\r\n";
     }
 
--- a/src/test/java/saffronferry/lifecycle/ProcessRegistryTest.java
+++ b/src/test/java/saffronferry/lifecycle/ProcessRegistryTest.java
@@ -112,8 +112,8 @@
                 Files.readString(file("d.told-" + ProcessHandle.current().pid()));
         assertTrue(
                 published,
-                new JSONObject(
-                                "{\"jobs\":{\"y\":1},\"learned\":[7],\"descriptors\":{\"maximum\":100,\"accepting\":true}}")
+                new JSONObject("{\"jobs\":{\"y\":1},\"learned\":[7],"
+                                + "\"descriptors\":{\"maximum\":100,\"accepting\":true}}")
                         .similar(new JSONObject(published)));
         for (String damaged : List.of("", "{\"jobs\":{\"w\":3", "{\"jobs\":{\"w\":\"many\"},\"learned\":[]}")) {
             Files.writeString(file("d.told-" + other.pid()), damaged);
--- a/src/test/java/saffronferry/limit/DescriptorSharingTest.java
+++ b/src/test/java/saffronferry/limit/DescriptorSharingTest.java
@@ -87,7 +87,7 @@
         }
     }
 
-    /** Clients may hold a third of the descriptors. While the successor starts, the process that serves keeps room for them. */
+    /** Clients may hold a third. While the successor starts, the process that serves keeps room for them. */
     @Test
     void aStartingProcessLeavesRoomForAThirdAsClients() {
         for (int limit : new int[] {256, 384, 1024}) {
