--- a/review/standins-2/DrainInUpgrade.java
+++ b/review/standins-2/DrainInUpgrade.java
@@ -1,6 +1,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /** An operator drains the dispatcher at its new console while the old process still lives. */
@@ -41,8 +42,8 @@
             Kit.record("drain/start: " + operator.answer(1_000).status());
             double drainedAt = Kit.now();
             Kit.Answer end = resting.answer(4_500);
-            Kit.record("the resting client's connection " + (end.status() == 0 ? "was closed" : "is open") + " "
-                    + String.format("%.2f s after the call", Kit.now() - drainedAt));
+            Kit.record("the resting client's connection " + (end.status() == 0 ? "was closed" : "is open")
+                    + String.format(Locale.ROOT, " %.2f s after the call", Kit.now() - drainedAt));
             boolean held = end.status() != 0;
             Kit.Answer up = new Kit.Answer(0, Map.of(), "");
             try {
@@ -53,8 +54,9 @@
             }
             Kit.record("/up on the front's kept connection: " + up.status());
             if (held) {
-            resting.send("POST", "/directory-page?obj=7f", Kit.job("a2", "directory-page", 3000, null), "");
-            Kit.record("the resting client's next job: " + resting.answer(3_000)); }
+                resting.send("POST", "/directory-page?obj=7f", Kit.job("a2", "directory-page", 3000, null), "");
+                Kit.record("the resting client's next job: " + resting.answer(3_000));
+            }
             old.signal("TERM");
             return !held && up.status() != 200;
         });
--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -290,7 +290,7 @@
     // ---- workers ----
 
     /** A request as a worker or discovery has read it. */
-    record Request(String method, String target, Map<String, String> headers, int bodyBytes, Socket socket) {
+    record Request(String method, String target, Map<String, String> headers, Socket socket) {
         String id() {
             return headers.getOrDefault("x-txn", "");
         }
@@ -338,7 +338,7 @@
                 if (read < length) {
                     return;
                 }
-                handler.handle(new Request(first[0], first[1], headers, length, socket), socket.getOutputStream());
+                handler.handle(new Request(first[0], first[1], headers, socket), socket.getOutputStream());
                 if ("close".equals(headers.get("connection"))) {
                     return;
                 }
@@ -466,12 +466,7 @@
                     + "]}";
         }
 
-        /** Changes the phase of a worker and tells it on all watches. */
-        synchronized void setPhase(Worker worker, String phase) {
-            worker.phase = phase;
-            changed(List.of(worker));
-        }
-
+        /** Tells on all watches what these workers are now. */
         synchronized void changed(List<Worker> which) {
             revision++;
             changes.add(list(false, entries(which)));
--- a/review/standins-2/TinyChunks.java
+++ b/review/standins-2/TinyChunks.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Bad clients send bodies of 60 MB in chunks of one byte, and again the moment they are turned away. */
@@ -51,7 +52,7 @@
                 Kit.inBackground(id, () -> {
                     double from = Kit.now();
                     int status = usual(listen, id);
-                    Kit.record(String.format("%s: %d after %.2f s", id, status, Kit.now() - from));
+                    Kit.record(String.format(Locale.ROOT, "%s: %d after %.2f s", id, status, Kit.now() - from));
                     (status > 0 ? answered : status == 0 ? closed : silent).incrementAndGet();
                     left.decrementAndGet();
                 });
