Metrics of the input of connections and of the event loop's time for it

Change: app_input_bytes and app_input_seconds, measured from the first read of a series to its last handler, for all accepted connections.

--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.socket.DatagramChannel;
@@ -29,6 +30,7 @@
 import saffronferry.limit.AcceptGate;
 import saffronferry.log.BoundedLog;
 import saffronferry.ops.ControlUsage;
+import saffronferry.ops.InputUsage;
 
 /**
  * The Vert.x transport with two changes. First, connections are accepted on the event loop itself: Vert.x uses a
@@ -45,6 +47,7 @@
     private final ListenerAdmission clientAdmission;
     private final BoundedLog log;
     private final ControlUsage controlUsage = new ControlUsage();
+    private final InputUsage clientInput = new InputUsage();
     private final List<Acceptor> acceptors = new ArrayList<>();
     private EventLoopGroup loops;
     private Runnable onListenerLost = () -> {};
@@ -67,6 +70,11 @@
         return controlUsage;
     }
 
+    /** The input of accepted connections, operators' calls included. */
+    InputUsage clientInput() {
+        return clientInput;
+    }
+
     ListenerAdmission clientAdmission() {
         return clientAdmission;
     }
@@ -324,8 +332,14 @@
             this.gate = gate;
             connectedNanos = arrival.connectedNanos();
             firstRequestWaitMs = arrival.firstBytesWaitMs();
-            config().setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(
-                    MIN_READ_BUFFER_BYTES, INITIAL_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES));
+            config().setRecvByteBufAllocator(readBuffers());
+        }
+
+        @SuppressWarnings("deprecation") // see MeasuredReadHandle
+        private RecvByteBufAllocator readBuffers() {
+            AdaptiveRecvByteBufAllocator sizes = new AdaptiveRecvByteBufAllocator(
+                    MIN_READ_BUFFER_BYTES, INITIAL_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES);
+            return () -> new MeasuredReadHandle(sizes.newHandle(), clientInput);
         }
 
         /** When the connection was accepted, as {@code System.nanoTime} counts. */
--- a/src/main/java/saffronferry/wire/DispatcherNetwork.java
+++ b/src/main/java/saffronferry/wire/DispatcherNetwork.java
@@ -96,8 +96,7 @@
         peerSocket = new PeerSocket(
                 vertx, options.peers(), (peer, bytes) -> onDatagram(peer, bytes), transport.controlUsage(), log);
         PipelineBudget pipelineBudget = new PipelineBudget();
-        ResourceMetrics resourceMetrics =
-                new ResourceMetrics(descriptors, transport.clientAdmission().gate(), pipelineBudget);
+        ResourceMetrics resourceMetrics = new ResourceMetrics(descriptors, transport, pipelineBudget);
         metrics.addAdditionalMetrics(resourceMetrics::metrics);
         channelServer = new ChannelServer(
                 vertx,
--- a/src/main/java/saffronferry/wire/ResourceMetrics.java
+++ b/src/main/java/saffronferry/wire/ResourceMetrics.java
@@ -7,20 +7,24 @@
 import saffronferry.limit.DescriptorBudget;
 import saffronferry.limit.DescriptorBudget.Purpose;
 import saffronferry.limit.PipelineBudget;
+import saffronferry.ops.InputUsage;
 import saffronferry.ops.Metrics.Metric;
 
 /**
- * Metrics of the resources that connections take: descriptors, buffers outside the heap, and the time in which new
- * connections had to wait. They tell a dispatcher that is out of one of these from one that is out of processor time.
+ * Metrics of the resources that connections take: descriptors, buffers outside the heap, the time of the event loop for
+ * their input, and the time in which new connections had to wait. They tell a dispatcher that is out of one of these
+ * from one that is out of processor time.
  */
 final class ResourceMetrics {
     private final DescriptorBudget descriptors;
     private final AcceptGate gate;
     private final PipelineBudget pipelineBudget;
+    private final InputUsage clientInput;
 
-    ResourceMetrics(DescriptorBudget descriptors, AcceptGate gate, PipelineBudget pipelineBudget) {
+    ResourceMetrics(DescriptorBudget descriptors, BoundedTransport transport, PipelineBudget pipelineBudget) {
         this.descriptors = descriptors;
-        this.gate = gate;
+        gate = transport.clientAdmission().gate();
+        clientInput = transport.clientInput();
         this.pipelineBudget = pipelineBudget;
     }
 
@@ -40,11 +44,15 @@
                         "app_worker_connections_max",
                         "Connections that attempts may hold.",
                         descriptors.maximum(Purpose.WORKERS)),
-                new Metric(
+                counter(
                         "app_accept_wait_seconds",
-                        "counter",
                         "Time in which new clients may have waited for a descriptor.",
                         gate.totalWaitMs(System.nanoTime() / 1_000_000) / 1e3),
+                counter("app_input_bytes", "Bytes read from connections that were accepted.", clientInput.bytes()),
+                counter(
+                        "app_input_seconds",
+                        "Time that the event loop spent on these bytes.",
+                        clientInput.nanos() / 1e9),
                 gauge(
                         "app_pipelined_bytes",
                         "Memory of requests that clients sent behind an open one.",
@@ -58,6 +66,10 @@
                 .usedDirectMemory();
     }
 
+    private static Metric counter(String name, String help, double value) {
+        return new Metric(name, "counter", help, value);
+    }
+
     private static Metric gauge(String name, String help, double value) {
         return new Metric(name, "gauge", help, value);
     }
