Bound the event loop's time for responses of workers that never end

Callers would see: beside eight workers whose responses go on at full speed 35 of 60 usual requests had no answer in time where these came in chunks of one byte, 16 of 60 where they were events of a running job.

Change: outgoing connections are ScheduledSocketChannels too, with buffers of 4 KiB and a queue of their own, so that a worker's response never waits for clients that send at full speed. Metrics app_response_bytes, app_response_seconds, app_response_deferred. One common queue was ruled out for that reason. Sizes of read buffers moved from AcceptedConnection to the common class.

--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -1,7 +1,6 @@
 package saffronferry.wire;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.EventLoop;
@@ -30,10 +29,12 @@
 import saffronferry.ops.ControlUsage;
 
 /**
- * The Vert.x transport with two changes. First, connections are accepted on the event loop itself: Vert.x uses a
+ * The Vert.x transport with three changes. First, connections are accepted on the event loop itself: Vert.x uses a
  * separate acceptor thread, which runs ahead of a busy loop and takes all file descriptors. Second, a connection is
  * accepted only if the gate admits it; otherwise it waits in the backlog of the operating system. A failure while
- * accepting neither closes the listening socket nor ends the thread.
+ * accepting neither closes the listening socket nor ends the thread. Third, what the input of connections may use of a
+ * turn of the event loop is bounded; accepted and outgoing connections have a bound each, so that neither waits for the
+ * other.
  */
 public class BoundedTransport extends JDKTransport {
     /** How often a handover tries to accept the waiting connections while file descriptors are short. */
@@ -45,6 +46,7 @@
     private final BoundedLog log;
     private final ControlUsage controlUsage = new ControlUsage();
     private final ScheduledReads clientReads = new ScheduledReads();
+    private final ScheduledReads serverReads = new ScheduledReads();
     private final List<Acceptor> acceptors = new ArrayList<>();
     private EventLoopGroup loops;
     private Runnable onListenerLost = () -> {};
@@ -72,6 +74,11 @@
         return clientReads;
     }
 
+    /** The reads of outgoing connections: to workers and to discovery. */
+    ScheduledReads serverReads() {
+        return serverReads;
+    }
+
     ListenerAdmission clientAdmission() {
         return clientAdmission;
     }
@@ -151,6 +158,11 @@
         return loops;
     }
 
+    @Override
+    public ChannelFactory<? extends Channel> channelFactory(boolean domainSocket) {
+        return () -> new ScheduledSocketChannel(serverReads);
+    }
+
     @Override
     public ChannelFactory<? extends ServerChannel> serverChannelFactory(boolean domainSocket) {
         return () -> listener(clientAdmission);
@@ -314,23 +326,13 @@
 
     /** An accepted connection that has sent its first bytes. */
     final class AcceptedConnection extends ScheduledSocketChannel {
-        private static final int MIN_READ_BUFFER_BYTES = 64;
-        private static final int INITIAL_READ_BUFFER_BYTES = 2 * 1024;
-        /** A buffer stays in use as long as a part of it cannot be decoded, at every connection at the same time. */
-        private static final int MAX_READ_BUFFER_BYTES = 4 * 1024;
-
         private final long connectedNanos;
         private final AcceptGate gate;
         private long firstRequestWaitMs;
         private boolean closed;
 
         AcceptedConnection(Channel parent, SocketChannel socket, PendingConnections.Arrival arrival, AcceptGate gate) {
-            super(
-                    parent,
-                    socket,
-                    clientReads,
-                    new AdaptiveRecvByteBufAllocator(
-                            MIN_READ_BUFFER_BYTES, INITIAL_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES));
+            super(parent, socket, clientReads);
             this.gate = gate;
             connectedNanos = arrival.connectedNanos();
             firstRequestWaitMs = arrival.firstBytesWaitMs();
--- a/src/main/java/saffronferry/wire/ResourceMetrics.java
+++ b/src/main/java/saffronferry/wire/ResourceMetrics.java
@@ -19,11 +19,13 @@
     private final AcceptGate gate;
     private final PipelineBudget pipelineBudget;
     private final ScheduledReads clientReads;
+    private final ScheduledReads serverReads;
 
     ResourceMetrics(DescriptorBudget descriptors, BoundedTransport transport, PipelineBudget pipelineBudget) {
         this.descriptors = descriptors;
         gate = transport.clientAdmission().gate();
         clientReads = transport.clientReads();
+        serverReads = transport.serverReads();
         this.pipelineBudget = pipelineBudget;
     }
 
@@ -55,10 +57,22 @@
                         "app_input_seconds",
                         "Time that the event loop spent on these bytes.",
                         clientReads.usage().nanos() / 1e9),
+                counter(
+                        "app_response_bytes",
+                        "Bytes read from workers and discovery.",
+                        serverReads.usage().bytes()),
+                counter(
+                        "app_response_seconds",
+                        "Time that the event loop spent on these bytes.",
+                        serverReads.usage().nanos() / 1e9),
                 gauge(
                         "app_input_deferred",
                         "Accepted connections whose further input waits for its turn.",
                         clientReads.scheduler().size()),
+                gauge(
+                        "app_response_deferred",
+                        "Connections to workers and discovery whose further input waits for its turn.",
+                        serverReads.scheduler().size()),
                 gauge(
                         "app_pipelined_bytes",
                         "Memory of requests that clients sent behind an open one.",
--- a/src/main/java/saffronferry/wire/ScheduledSocketChannel.java
+++ b/src/main/java/saffronferry/wire/ScheduledSocketChannel.java
@@ -1,5 +1,6 @@
 package saffronferry.wire;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -11,17 +12,34 @@
  * its input, and it is read when its turn comes.
  */
 class ScheduledSocketChannel extends NioSocketChannel {
+    private static final int MIN_READ_BUFFER_BYTES = 64;
+    private static final int INITIAL_READ_BUFFER_BYTES = 2 * 1024;
+    /**
+     * A buffer that was read is processed in one go. It also stays in use as long as a part of it cannot be decoded, at
+     * every connection at the same time.
+     */
+    private static final int MAX_READ_BUFFER_BYTES = 4 * 1024;
+
     private final ScheduledReads reads;
     private boolean deferred;
 
-    ScheduledSocketChannel(Channel parent, SocketChannel socket, ScheduledReads reads, RecvByteBufAllocator buffers) {
+    /** Creates an outgoing connection. */
+    ScheduledSocketChannel(ScheduledReads reads) {
+        this.reads = reads;
+        config().setRecvByteBufAllocator(readHandles());
+    }
+
+    /** Creates a connection that has been accepted. */
+    ScheduledSocketChannel(Channel parent, SocketChannel socket, ScheduledReads reads) {
         super(parent, socket);
         this.reads = reads;
-        config().setRecvByteBufAllocator(handles(buffers));
+        config().setRecvByteBufAllocator(readHandles());
     }
 
     @SuppressWarnings("deprecation") // see ScheduledReadHandle
-    private RecvByteBufAllocator handles(RecvByteBufAllocator buffers) {
+    private RecvByteBufAllocator readHandles() {
+        RecvByteBufAllocator buffers = new AdaptiveRecvByteBufAllocator(
+                MIN_READ_BUFFER_BYTES, INITIAL_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES);
         return () -> new ScheduledReadHandle(buffers.newHandle(), reads.scheduler(), this::onSeriesEnd);
     }
 
