--- a/src/main/java/saffronferry/ops/InputUsage.java
+++ b/src/main/java/saffronferry/ops/InputUsage.java
@@ -1,8 +1,8 @@
 package saffronferry.ops;
 
 /**
- * The input read from connections, and the time that the event loop spent on it from the first read to the last handler.
- * A loop that is busy with input differs by it from one that is busy with something else. Not thread-safe.
+ * The input read from connections, and the time that the event loop spent on it, from the first read to the last
+ * handler. A loop that is busy with input differs by it from one that is busy with something else. Not thread-safe.
  */
 public final class InputUsage {
     private long bytes;
--- a/src/test/java/saffronferry/lifecycle/ClientMemoryTest.java
+++ b/src/test/java/saffronferry/lifecycle/ClientMemoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.Assert.assertTrue;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
@@ -57,4 +58,20 @@
         assertTrue(started.await(10, TimeUnit.SECONDS));
         assertUsualClientsAreServed(process);
     }
+
+    private interface SocketTask {
+        void run() throws IOException;
+    }
+
+    private static void daemon(SocketTask task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                // the dispatcher has closed the connection, or the test is over
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
 }
--- a/src/test/java/saffronferry/lifecycle/HostileClientsFixture.java
+++ b/src/test/java/saffronferry/lifecycle/HostileClientsFixture.java
@@ -3,7 +3,6 @@
 import static org.junit.Assert.assertEquals;
 import static org.junit.Assert.assertTrue;
 
-import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,9 +17,6 @@
 
     private static final int USUAL_REQUESTS = 60;
     private static final int USUAL_INTERVAL_MS = 50;
-    /** A thread of a hostile client needs little stack, and there are hundreds. */
-    private static final long STACK_BYTES = 256 * 1024;
-
     /** A head without its last, empty line. */
     static String head(String id) {
         return "POST /directory-page?obj=7f HTTP/1.1\r\nHost: h\r\nX-Lane: directory-page\r\n"
@@ -50,22 +46,4 @@
         assertTrue("the process has not ended", process.isAlive());
         assertEquals(USUAL_REQUESTS, inTime);
     }
-
-    /** A task that ends when the connection does. */
-    interface SocketTask {
-        void run() throws IOException;
-    }
-
-    static void daemon(SocketTask task) {
-        Runnable untilClosed = () -> {
-            try {
-                task.run();
-            } catch (IOException e) {
-                // the dispatcher has closed the connection, or the test is over
-            }
-        };
-        Thread thread = new Thread(null, untilClosed, "hostile client", STACK_BYTES);
-        thread.setDaemon(true);
-        thread.start();
-    }
 }
