A worker's line of another request, or a last line without a result, is no answer

Nothing was logged.

Cause: SubchannelResponseParser read state and result of a line only, and took a missing result for an empty one.

Ruled out: answers mixed up here, each attempt has its own connection.

The log tells it once a worker.

--- a/src/main/java/saffronferry/log/BoundedLog.java
+++ b/src/main/java/saffronferry/log/BoundedLog.java
@@ -19,18 +19,20 @@
      *
      * @param kind one of a few fixed titles
      * @param text any text; it is truncated, and non-printable characters are replaced
+     * @return whether the line was written
      */
-    public synchronized void line(String kind, String text) {
+    public synchronized boolean line(String kind, String text) {
         long now = System.nanoTime();
         long[] last = kinds.computeIfAbsent(kind, k -> new long[] {now - MIN_INTERVAL_NS, 0});
         if (now - last[0] < MIN_INTERVAL_NS) {
             last[1]++;
-            return;
+            return false;
         }
         System.err.println("saffronferry: " + kind + ": " + sanitize(text)
                 + (last[1] > 0 ? " (and " + last[1] + " more like it)" : ""));
         last[0] = now;
         last[1] = 0;
+        return true;
     }
 
     /** Truncates a text and replaces control characters: it may hold a client's bytes, and is shown on terminals. */
--- a/src/main/java/saffronferry/wire/SubchannelClient.java
+++ b/src/main/java/saffronferry/wire/SubchannelClient.java
@@ -40,7 +40,7 @@
     private final AttemptCapacity attemptCapacity;
     private final SubchannelResponseParser responseParser;
     private final LoadReportParser loads;
-    private final BoundedLog log;
+    private final InvalidResponseLog invalidResponses;
     private final long maxDialMs;
 
     /**
@@ -58,7 +58,7 @@
         this.vertx = vertx;
         this.loads = loads;
         this.attemptCapacity = attemptCapacity;
-        this.log = log;
+        invalidResponses = new InvalidResponseLog(log);
         responseParser = new SubchannelResponseParser(loads);
         int connectTimeoutMs = (int) Math.max(1, Math.round(connectTimeout * 1000));
         maxDialMs = connectTimeoutMs + DIAL_SLACK_MS;
@@ -88,7 +88,7 @@
      * @return an action that cancels the attempt and closes its connection
      */
     Runnable start(ForwardedRequest message, String address, long remainingMicros, CallAttempt attempt) {
-        Exchange exchange = new Exchange(message, remainingMicros, attempt);
+        Exchange exchange = new Exchange(message, address, remainingMicros, attempt);
         attempts.dial(
                 message.method(), Address.parse(address), message.uri(), exchange::connected, exchange::connectFailed);
         attemptCapacity.update(nowMs());
@@ -98,6 +98,7 @@
     /** One call attempt on its connection. */
     private final class Exchange {
         private final ForwardedRequest message;
+        private final String address;
         private final long remainingMicros;
         private final CallAttempt attempt;
         private final long dialStartMs = nowMs();
@@ -106,8 +107,9 @@
         private long responseEndTimer = -1;
         private int responseBytes;
 
-        Exchange(ForwardedRequest message, long remainingMicros, CallAttempt attempt) {
+        Exchange(ForwardedRequest message, String address, long remainingMicros, CallAttempt attempt) {
             this.message = message;
+            this.address = address;
             this.remainingMicros = remainingMicros;
             this.attempt = attempt;
         }
@@ -191,7 +193,8 @@
                         response.getHeader("X-Turned-Away"),
                         response.getHeader("X-Pressure"));
             }
-            LineSplitter lines = new LineSplitter(MAX_LINE_BYTES, line -> responseParser.line(attempt, line));
+            LineSplitter lines =
+                    new LineSplitter(MAX_LINE_BYTES, line -> responseParser.line(attempt, message.txn(), line));
             response.handler(chunk -> endingOnInvalidInput(() -> feed(lines, chunk)));
             response.endHandler(v -> {
                 endingOnInvalidInput(lines::end);
@@ -224,7 +227,7 @@
             try {
                 read.run();
             } catch (IllegalArgumentException e) {
-                log.line("invalid subchannel response", e.getMessage());
+                invalidResponses.report(address, e.getMessage());
                 Dialer.abort(request);
                 attempt.ended(Outcome.RESET, null);
             }
--- a/src/test/java/saffronferry/lifecycle/ConnectionEndTest.java
+++ b/src/test/java/saffronferry/lifecycle/ConnectionEndTest.java
@@ -114,7 +114,7 @@
         List<ScriptedServer.Script> endless = List.of(
                 (request, out) -> {
                     ScriptedServer.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-                    ScriptedServer.chunk(out, "{\"state\":\"done\",\"result\":\"made\"}");
+                    ScriptedServer.chunk(out, ScriptedServer.line(ScriptedServer.id(request), "done", "made"));
                     return true; // without a last chunk or a close
                 },
                 (request, out) -> {
--- a/src/test/java/saffronferry/lifecycle/ScriptedServer.java
+++ b/src/test/java/saffronferry/lifecycle/ScriptedServer.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -153,12 +154,27 @@
     /** A worker that serves each request at once. */
     static boolean serve(String request, OutputStream out) throws IOException {
         write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-        chunk(out, "{\"state\":\"started\"}");
-        chunk(out, "{\"state\":\"done\",\"result\":\"made\"}");
+        chunk(out, line(id(request), "started", null));
+        chunk(out, line(id(request), "done", "made"));
         write(out, "0\r\n\r\n");
         return true;
     }
 
+    /** The id of a request. */
+    static String id(String request) {
+        return request.lines()
+                .filter(l -> l.toLowerCase(Locale.ROOT).startsWith("x-txn:"))
+                .map(l -> l.substring("x-txn:".length()).trim())
+                .findFirst()
+                .orElse("");
+    }
+
+    /** A line of a worker's response, without a result if it is null. */
+    static String line(String id, String state, String result) {
+        return "{\"id\":\"" + id + "\",\"from\":\"w\",\"state\":\"" + state + "\""
+                + (result == null ? "" : ",\"result\":\"" + result + "\"") + "}";
+    }
+
     /** A worker that serves each request after the given time. */
     static Script serveAfterMs(int ms) {
         return (request, out) -> {
--- a/src/test/java/saffronferry/wire/ParsersTest.java
+++ b/src/test/java/saffronferry/wire/ParsersTest.java
@@ -126,22 +126,54 @@
         String[][] lines = {
             {"{\"state\":\"started\"}", "started"},
             {"{\"state\":\"running\",\"share\":0.4}", "running"},
-            {"{\"state\":\"done\",\"result\":\"r\"}", "OK once r"},
-            {"{\"state\":\"failed\"}", "ERROR once"},
-            {"{\"state\":\"returned\"}", "FULL once"},
-            {"{\"state\":\"lost\"}", "RESET once"},
+            {"{\"id\":\"t1\",\"state\":\"started\"}", "started"},
+            {"{\"id\":\"t1\",\"state\":\"done\",\"result\":\"r\"}", "OK once r"},
+            {"{\"id\":\"t1\",\"state\":\"done\",\"result\":\"\"}", "OK once "},
+            {"{\"id\":\"t1\",\"state\":\"failed\"}", "ERROR once"},
+            {"{\"id\":\"t1\",\"state\":\"returned\"}", "FULL once"},
+            {"{\"id\":\"t1\",\"state\":\"lost\"}", "RESET once"},
             {"{\"state\":\"new\"}", ""},
             {"{}", ""},
             {"", ""},
         };
         for (String[] c : lines) {
             RecordingAttempt p = new RecordingAttempt();
-            parser.line(p.attempt, c[0]);
+            parser.line(p.attempt, "t1", c[0]);
             assertEquals(c[0], c[1], p.events);
         }
+    }
+
+    /** Guards against lines of other requests, and lines without a result, that are taken for an answer (review/3). */
+    @Test
+    public void invalidLinesOfSubchannelsDoNotEndTheAttempt() {
+        SubchannelResponseParser parser = new SubchannelResponseParser(LOADS);
+        String[] lines = {
+            "nonsense",
+            "{\"id\":\"t2\",\"state\":\"started\"}",
+            "{\"id\":\"t2\",\"state\":\"running\",\"share\":0.4}",
+            "{\"id\":\"t2\",\"state\":\"done\",\"result\":\"r\"}",
+            "{\"id\":\"t2\",\"state\":\"failed\"}",
+            "{\"id\":\"t2\",\"state\":\"returned\"}",
+            "{\"id\":\"t2\",\"state\":\"lost\"}",
+            "{\"id\":1,\"state\":\"done\",\"result\":\"r\"}",
+            "{\"id\":null,\"state\":\"done\",\"result\":\"r\"}",
+            "{\"state\":\"done\",\"result\":\"r\"}",
+            "{\"state\":\"returned\"}",
+            "{\"id\":\"t1\",\"state\":\"done\"}",
+            "{\"id\":\"t1\",\"state\":\"done\",\"result\":null}",
+        };
+        for (String line : lines) {
+            RecordingAttempt p = new RecordingAttempt();
+            assertThrows(line, IllegalArgumentException.class, () -> parser.line(p.attempt, "t1", line));
+            assertEquals(line, "", p.events);
+        }
+    }
+
+    @Test
+    public void aSubchannelsIdOfDigitsMayBeANumber() {
         RecordingAttempt p = new RecordingAttempt();
-        assertThrows(IllegalArgumentException.class, () -> parser.line(p.attempt, "nonsense"));
-        assertEquals("", p.events);
+        new SubchannelResponseParser(LOADS).line(p.attempt, "17", "{\"id\":17,\"state\":\"done\",\"result\":\"r\"}");
+        assertEquals("OK once r", p.events);
     }
 
     @Test
