--- a/src/main/java/saffronferry/limit/InputScheduler.java
+++ b/src/main/java/saffronferry/limit/InputScheduler.java
@@ -7,10 +7,10 @@
 /**
  * Shares the time of the event loop among connections that send more than is read at once, by round robin.
  *
- * <p>A connection that has more input after {@link #READ_QUANTUM_NANOS} is deferred: it joins the end of a queue
- * instead of being read on. In each turn of the loop the queue is served for {@link #TURN_BUDGET_NANOS} at most.
- * Connections with little input are never deferred, so that they wait for the others no longer than that, whatever the
- * others send and however many they are. Times are in nanoseconds, as {@code System.nanoTime} counts. Not thread-safe.
+ * <p>A connection is read on for {@link #READ_QUANTUM_NANOS} at most. One that has more input then is deferred: it
+ * joins the end of a queue, which in each turn of the loop is served for {@link #TURN_BUDGET_NANOS} at most. Connections
+ * with little input are never deferred, so that they wait for the others no longer than that, whatever the others send
+ * and however many they are. Times are in nanoseconds, as {@code System.nanoTime} counts. Not thread-safe.
  *
  * @param <C> the connections
  */
--- a/src/main/java/saffronferry/wire/ScheduledReads.java
+++ b/src/main/java/saffronferry/wire/ScheduledReads.java
@@ -9,6 +9,7 @@
     private final InputScheduler<ScheduledSocketChannel> scheduler = new InputScheduler<>();
     private final InputUsage usage = new InputUsage();
 
+    /** Decides which connections are read, and for how long. */
     InputScheduler<?> scheduler() {
         return scheduler;
     }
@@ -25,6 +26,7 @@
         }
     }
 
+    /** Removes a connection that is being closed. */
     void remove(ScheduledSocketChannel connection) {
         scheduler.remove(connection);
     }
@@ -35,14 +37,22 @@
     }
 
     private void runTurn(EventLoop loop) {
-        scheduler.startTurn(System.nanoTime());
+        try {
+            scheduler.startTurn(System.nanoTime());
+            readDeferred();
+        } finally {
+            // also after an error, or the other deferred connections would never be read
+            if (scheduler.endTurn()) {
+                scheduleTurn(loop);
+            }
+        }
+    }
+
+    private void readDeferred() {
         ScheduledSocketChannel connection = scheduler.next(System.nanoTime());
         while (connection != null) {
             connection.readDeferred();
             connection = scheduler.next(System.nanoTime());
         }
-        if (scheduler.endTurn()) {
-            scheduleTurn(loop);
-        }
     }
 }
