--- a/src/main/java/saffronferry/limit/InputScheduler.java
+++ b/src/main/java/saffronferry/limit/InputScheduler.java
@@ -8,9 +8,9 @@
  * Shares the time of the event loop among connections that send more than is read at once, by round robin.
  *
  * <p>A connection is read on for {@link #READ_QUANTUM_NANOS} at most. One that has more input then is deferred: it
- * joins the end of a queue, which in each turn of the loop is served for {@link #TURN_BUDGET_NANOS} at most. Connections
- * with little input are never deferred, so that they wait for the others no longer than that, whatever the others send
- * and however many they are. Times are in nanoseconds, as {@code System.nanoTime} counts. Not thread-safe.
+ * joins the end of a queue, which in each turn of the loop is served for {@link #TURN_BUDGET_NANOS} at most.
+ * Connections with little input are never deferred, so that they wait for the others no longer than that, whatever the
+ * others send and however many they are. Times are in nanoseconds, as {@code System.nanoTime} counts. Not thread-safe.
  *
  * @param <C> the connections
  */
--- a/src/main/java/saffronferry/wire/BoundedTransport.java
+++ b/src/main/java/saffronferry/wire/BoundedTransport.java
@@ -286,7 +286,7 @@
         }
 
         private void firstBytes(SocketChannel socket, PendingConnections.Arrival arrival, ByteBuf bytes) {
-            AcceptedConnection connection = new AcceptedConnection(libraryAcceptor, socket, arrival, gate);
+            AcceptedConnection connection = new AcceptedConnection(libraryAcceptor, socket, clientReads, arrival, gate);
             // the library registers the connection and sets it up synchronously
             libraryAcceptor.pipeline().fireChannelRead(connection);
             if (connection.isRegistered()) {
@@ -324,51 +324,6 @@
         }
     }
 
-    /** An accepted connection that has sent its first bytes. */
-    final class AcceptedConnection extends ScheduledSocketChannel {
-        private final long connectedNanos;
-        private final AcceptGate gate;
-        private long firstRequestWaitMs;
-        private boolean closed;
-
-        AcceptedConnection(Channel parent, SocketChannel socket, PendingConnections.Arrival arrival, AcceptGate gate) {
-            super(parent, socket, clientReads);
-            this.gate = gate;
-            connectedNanos = arrival.connectedNanos();
-            firstRequestWaitMs = arrival.firstBytesWaitMs();
-        }
-
-        /** When the connection was accepted, as {@code System.nanoTime} counts. */
-        long connectedNanos() {
-            return connectedNanos;
-        }
-
-        /** How long ago the connection was accepted; at its setup, the time it took to send its first byte. */
-        long ageMs() {
-            return (System.nanoTime() - connectedNanos) / 1_000_000;
-        }
-
-        /**
-         * The longest time that a request can have waited before its connection was accepted; to be called once for
-         * each request of the connection. Only the first request can have waited.
-         */
-        long takeRequestWaitMs() {
-            long wait = firstRequestWaitMs;
-            firstRequestWaitMs = 0;
-            return wait;
-        }
-
-        @Override
-        protected void doClose() throws Exception {
-            super.doClose();
-            if (!closed) {
-                closed = true;
-                gate.connectionClosing();
-                afterNextSelect(eventLoop(), gate::connectionClosed);
-            }
-        }
-    }
-
     /**
      * Runs an action once the file descriptors closed so far are free: they are returned to the operating system only
      * when the selector drops their cancelled keys at its next select.
--- a/src/main/java/saffronferry/wire/ChannelServer.java
+++ b/src/main/java/saffronferry/wire/ChannelServer.java
@@ -152,7 +152,7 @@
 
     /** How long the request may have waited in the backlog; the time that the client states includes this. */
     private static long waitBeforeAcceptMs(HttpConnection connection) {
-        return ((HttpServerConnection) connection).channel() instanceof BoundedTransport.AcceptedConnection accepted
+        return ((HttpServerConnection) connection).channel() instanceof AcceptedConnection accepted
                 ? accepted.takeRequestWaitMs()
                 : 0;
     }
--- a/src/main/java/saffronferry/wire/ClientConnections.java
+++ b/src/main/java/saffronferry/wire/ClientConnections.java
@@ -65,7 +65,7 @@
 
     private static long ageMs(HttpConnection connection) {
         Channel channel = ((HttpServerConnection) connection).channel();
-        return channel instanceof BoundedTransport.AcceptedConnection accepted ? accepted.ageMs() : 0;
+        return channel instanceof AcceptedConnection accepted ? accepted.ageMs() : 0;
     }
 
     /**
--- a/src/main/java/saffronferry/wire/ConsoleServer.java
+++ b/src/main/java/saffronferry/wire/ConsoleServer.java
@@ -130,7 +130,7 @@
 
         CallConnection(Channel channel) {
             this.channel = channel;
-            connectedNanos = ((BoundedTransport.AcceptedConnection) channel).connectedNanos();
+            connectedNanos = ((AcceptedConnection) channel).connectedNanos();
             timer = loop.schedule(this::onTimeout, CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
             incomplete.add(this);
             closeOldestIfScarce();
--- a/src/main/java/saffronferry/wire/StrictDecoder.java
+++ b/src/main/java/saffronferry/wire/StrictDecoder.java
@@ -48,7 +48,7 @@
         libraryHandler
                 .pipeline()
                 .replace(VertxHttpRequestDecoder.class, "strictDecoder", new StrictDecoder(options, pipelining));
-        libraryHandler.pipeline().addBefore(libraryHandler.name(), "turnstile", pipelining);
+        libraryHandler.pipeline().addBefore(libraryHandler.name(), "pipeliningHandler", pipelining);
     }
 
     @Override
